Add membership: beats, the instance list, presence and the time line

Cause: homes, roles and spreading need to know which instances are alive. A beat is one call a second to each instance of the own data centre; the reply acknowledges it, so that an instance knows until when a peer can't yet suspect it. Gossip over random pairs was ruled out: its detection time has no bound that a hand-over could rely on. Not run yet between processes: the peer service and serve wait for the other parts.

--- a/src/event.rs
+++ b/src/event.rs
@@ -44,6 +44,24 @@
 }
 
 impl EventKind {
+    /// Every kind, in the order of their declaration.
+    pub const ALL: [Self; 14] = [
+        Self::Instance,
+        Self::Admit,
+        Self::Refuse,
+        Self::Finish,
+        Self::Retry,
+        Self::Key,
+        Self::Config,
+        Self::Mark,
+        Self::Lease,
+        Self::Order,
+        Self::Seal,
+        Self::Member,
+        Self::BackendServer,
+        Self::Platform,
+    ];
+
     /// Returns the word used in filters and output.
     pub fn as_str(self) -> &'static str {
         match self {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod context;
 pub mod event;
 pub mod home;
+pub mod log;
 pub mod metrics;
 pub mod names;
 pub mod options;
--- /dev/null
+++ b/src/peer/membership.rs
@@ -0,0 +1,457 @@
+//! The membership task: sends beats to peers, follows the platform's list, publishes both.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::seq::IteratorRandom;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::Instant;
+use tonic::{Code, Status};
+
+use super::generated::v1::{
+    BeatReply, BeatRequest, FetchConfigReply, FetchConfigRequest, ServerLoad,
+};
+use super::list::{self, MemberList};
+use super::load::Loads;
+use super::members::{self, Member, Members};
+use super::presence::{Bounds, PresenceTable};
+use crate::clock::Hlc;
+use crate::context::Context;
+use crate::event::EventKind;
+use crate::metrics::Counter;
+use crate::names::InstanceName;
+use crate::platform::PlatformError;
+
+/// Up to this many listed instances, beats go to all of them.
+const SMALL_FLEET: usize = 32;
+/// Instances of other data centres that get a beat each period in a larger fleet.
+const DISTANT_PEERS: usize = 2;
+/// Instances of each data centre that read the platform's list.
+const LIST_READERS: usize = 2;
+/// Age after which a reported load is dropped.
+const LOAD_MAX_AGE: Duration = Duration::from_secs(6);
+/// Name that ranks the instances which read the list.
+const LIST_ROLE: &str = "instance-list";
+/// Messages that may wait for the task.
+const INBOX: usize = 1_024;
+
+/// What a beat or its reply says of the sender's configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Heard {
+    /// The sender.
+    pub member: Member,
+    /// The configuration version that is in force there.
+    pub config_version: u64,
+    /// The digest of the marks known there.
+    pub marks_digest: u64,
+}
+
+/// Where the membership task publishes what it finds.
+pub struct Outputs {
+    /// The members.
+    pub members: watch::Sender<Arc<Members>>,
+    /// The loads reported by home instances.
+    pub loads: watch::Sender<Arc<Loads>>,
+    /// What peers say of their configuration.
+    pub heard: mpsc::Sender<Heard>,
+}
+
+/// A message to the membership task.
+enum Message {
+    Beat(Box<BeatRequest>, oneshot::Sender<BeatReply>),
+    Reply { peer: InstanceName, sent: Instant, reply: BeatReply },
+    Failed { peer: InstanceName, code: Code },
+    List(Result<MemberList, PlatformError>),
+    Current(oneshot::Sender<MemberList>),
+}
+
+/// Handle to the membership task; clones reach the same task.
+#[derive(Clone)]
+pub struct Membership {
+    tx: mpsc::Sender<Message>,
+}
+
+impl Membership {
+    /// Starts the task; `own_loads` holds the load of the backend servers that this instance is
+    /// home of.
+    ///
+    /// # Errors
+    /// Fails if the HTTP client can't be built.
+    pub fn start(
+        cx: Context,
+        own_loads: watch::Receiver<Arc<Vec<ServerLoad>>>,
+        outputs: Outputs,
+    ) -> eyre::Result<Self> {
+        let (tx, rx) = mpsc::channel(INBOX);
+        let http = reqwest::Client::builder().no_proxy().build()?;
+        let bounds = Bounds::new(cx.options.suspect_after);
+        let task = Task {
+            table: PresenceTable::new(cx.options.instance.clone(), bounds),
+            list: own_list(&cx),
+            listed: false,
+            reading: false,
+            sequence: 0,
+            reported: BTreeMap::new(),
+            platform_away: false,
+            cx,
+            http,
+            own_loads,
+            outputs,
+            tx: tx.clone(),
+        };
+        tokio::spawn(task.run(rx));
+        Ok(Self { tx })
+    }
+
+    /// Passes a received beat to the task; returns its reply.
+    ///
+    /// # Errors
+    /// Fails if this instance is shutting down.
+    pub async fn receive(&self, beat: BeatRequest) -> Result<BeatReply, Status> {
+        let (tx, rx) = oneshot::channel();
+        let stopped = || Status::unavailable("this instance is shutting down");
+        self.tx.send(Message::Beat(Box::new(beat), tx)).await.map_err(|_| stopped())?;
+        rx.await.map_err(|_| stopped())
+    }
+
+    /// Returns the list of instances as this instance knows it.
+    pub async fn current_list(&self) -> Option<MemberList> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(Message::Current(tx)).await.ok()?;
+        rx.await.ok()
+    }
+}
+
+/// Returns a list of just this instance, used until a real one is known.
+fn own_list(cx: &Context) -> MemberList {
+    let member = Member {
+        name: cx.options.instance.clone(),
+        data_centre: cx.options.data_centre.clone(),
+        peer_address: cx.options.peer_listen.to_string(),
+        leaving: false,
+    };
+    MemberList { revision: 0, members: BTreeMap::from([(member.name.clone(), member)]) }
+}
+
+/// The state of the membership task.
+struct Task {
+    cx: Context,
+    http: reqwest::Client,
+    own_loads: watch::Receiver<Arc<Vec<ServerLoad>>>,
+    outputs: Outputs,
+    tx: mpsc::Sender<Message>,
+    table: PresenceTable,
+    list: MemberList,
+    /// Whether the list came from the platform or a peer.
+    listed: bool,
+    /// Whether a read of the list is under way.
+    reading: bool,
+    sequence: u64,
+    /// Reported loads with the time when they arrived.
+    reported: BTreeMap<String, (Instant, ServerLoad)>,
+    platform_away: bool,
+}
+
+impl Task {
+    async fn run(mut self, mut rx: mpsc::Receiver<Message>) {
+        let mut ticks = self.cx.timer.every(self.cx.options.beat_period);
+        let mut draining = self.cx.draining.clone();
+        self.read_list();
+        loop {
+            tokio::select! {
+                Some(message) = rx.recv() => self.handle(message).await,
+                Some(_) = ticks.recv() => self.tick(),
+                Ok(()) = draining.changed() => self.tick(),
+                else => return,
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.read_list();
+        self.send_beats();
+        self.publish();
+    }
+
+    async fn handle(&mut self, message: Message) {
+        match message {
+            Message::Beat(beat, reply) => {
+                let answer = self.receive(*beat).await;
+                // The caller may have given up; it will send the next beat.
+                let _ = reply.send(answer);
+            }
+            Message::Reply { peer, sent, reply } => self.receive_reply(peer, sent, reply).await,
+            Message::Failed { peer, code } => {
+                if code == Code::Unavailable {
+                    self.table.refused(&peer);
+                }
+                self.publish();
+            }
+            Message::List(result) => self.take_list(result),
+            Message::Current(reply) => {
+                let _ = reply.send(self.list.clone());
+            }
+        }
+    }
+
+    async fn receive(&mut self, beat: BeatRequest) -> BeatReply {
+        self.cx.clock.observe(Hlc(beat.hlc));
+        let peer: InstanceName = beat.instance.as_str().into();
+        let now = Instant::now();
+        self.table.heard(&peer, beat.incarnation, beat.draining, now);
+        for load in beat.loads {
+            self.reported.insert(load.backend_server.clone(), (now, load));
+        }
+        self.follow(&peer, beat.config_version, beat.marks_digest, beat.members_revision).await;
+        self.publish();
+        self.reply()
+    }
+
+    async fn receive_reply(&mut self, peer: InstanceName, sent: Instant, reply: BeatReply) {
+        self.cx.clock.observe(Hlc(reply.hlc));
+        self.table.heard(&peer, reply.incarnation, reply.draining, Instant::now());
+        self.table.acknowledged(&peer, sent);
+        self.follow(&peer, reply.config_version, reply.marks_digest, reply.members_revision).await;
+        self.publish();
+    }
+
+    /// Takes note of what a peer knows, and asks it for what is missing here.
+    async fn follow(
+        &mut self,
+        peer: &InstanceName,
+        config_version: u64,
+        marks_digest: u64,
+        members_revision: u64,
+    ) {
+        let Some(member) = self.list.members.get(peer).cloned() else { return };
+        if members_revision > self.list.revision {
+            self.fetch_list(member.peer_address.clone());
+        }
+        // A full channel only delays the comparison until the next beat.
+        let _ = self.outputs.heard.try_send(Heard { member, config_version, marks_digest });
+    }
+
+    fn reply(&self) -> BeatReply {
+        let in_force = self.cx.in_force.borrow();
+        BeatReply {
+            hlc: self.cx.clock.now().0,
+            incarnation: self.cx.incarnation,
+            config_version: in_force.config.version,
+            marks_digest: in_force.marks.digest(),
+            members_revision: self.list.revision,
+            draining: *self.cx.draining.borrow(),
+        }
+    }
+
+    fn send_beats(&mut self) {
+        self.sequence += 1;
+        let beat = self.beat();
+        for member in self.beat_targets() {
+            let (cx, tx, beat) = (self.cx.clone(), self.tx.clone(), beat.clone());
+            tokio::spawn(async move {
+                let message = send_beat(&cx, &member, beat).await;
+                // The task ends only with the process.
+                let _ = tx.send(message).await;
+            });
+        }
+    }
+
+    fn beat(&self) -> BeatRequest {
+        let reply = self.reply();
+        BeatRequest {
+            instance: self.cx.options.instance.to_string(),
+            incarnation: reply.incarnation,
+            hlc: reply.hlc,
+            sequence: self.sequence,
+            acknowledged: 0,
+            config_version: reply.config_version,
+            marks_digest: reply.marks_digest,
+            members_revision: reply.members_revision,
+            draining: reply.draining,
+            loads: self.own_loads.borrow().to_vec(),
+            uses: Vec::new(),
+            program_version: env!("CARGO_PKG_VERSION").to_owned(),
+        }
+    }
+
+    /// Returns the peers that get a beat: all in a small fleet; else those of the own data centre
+    /// and a few others.
+    fn beat_targets(&self) -> Vec<Member> {
+        let own = &self.cx.options;
+        let peers = || self.list.members.values().filter(|member| member.name != own.instance);
+        if self.list.members.len() <= SMALL_FLEET {
+            return peers().cloned().collect();
+        }
+        let near = peers().filter(|member| member.data_centre == own.data_centre);
+        let far = peers().filter(|member| member.data_centre != own.data_centre);
+        near.chain(far.sample(&mut rand::rng(), DISTANT_PEERS)).cloned().collect()
+    }
+
+    /// Starts to read the platform's list, if this instance is one of its readers.
+    fn read_list(&mut self) {
+        if self.reading || !self.is_list_reader() {
+            return;
+        }
+        self.reading = true;
+        self.cx.metrics.add(Counter::PlatformCalls, "instance-list", 1);
+        let (http, tx) = (self.http.clone(), self.tx.clone());
+        let base = self.cx.options.platform.clone();
+        tokio::spawn(async move {
+            let result = list::read_list(&http, &base).await;
+            let _ = tx.send(Message::List(result)).await;
+        });
+    }
+
+    /// Returns whether this instance reads the platform's list itself.
+    fn is_list_reader(&self) -> bool {
+        if !self.listed || !self.list.members.contains_key(&self.cx.options.instance) {
+            return true;
+        }
+        let members = self.cx.members.borrow().clone();
+        members
+            .ranked(LIST_ROLE, &self.cx.options.data_centre)
+            .iter()
+            .take(LIST_READERS)
+            .any(|member| member.name == self.cx.options.instance)
+    }
+
+    fn take_list(&mut self, result: Result<MemberList, PlatformError>) {
+        self.reading = false;
+        match result {
+            Ok(list) => {
+                self.note_platform(None);
+                self.adopt(list);
+            }
+            Err(error) => {
+                self.note_platform(Some(&error));
+                if !self.listed {
+                    self.ask_seeds();
+                }
+            }
+        }
+    }
+
+    fn note_platform(&mut self, error: Option<&PlatformError>) {
+        if self.platform_away != error.is_some() {
+            self.platform_away = error.is_some();
+            let detail = error.map_or_else(
+                || "the instance list can be read again".to_owned(),
+                |error| format!("the instance list can't be read: {error}"),
+            );
+            tracing::warn!("{detail}");
+            self.cx.recorder.record(EventKind::Platform, detail);
+        }
+    }
+
+    /// Takes over a list that is not older than the known one.
+    fn adopt(&mut self, list: MemberList) {
+        let usable = !list.members.is_empty() && (list.revision >= self.list.revision);
+        if !usable || (self.listed && list == self.list) {
+            return;
+        }
+        for gone in self.list.members.values().filter(|m| !list.members.contains_key(&m.name)) {
+            self.cx.pool.forget(&gone.peer_address);
+        }
+        let first = !self.listed;
+        self.listed = true;
+        self.table.relist(&list, Instant::now());
+        self.list = list;
+        if first {
+            self.send_beats();
+        }
+        self.publish();
+    }
+
+    fn ask_seeds(&self) {
+        for seed in &self.cx.options.seeds {
+            self.fetch_list(seed.to_string());
+        }
+    }
+
+    /// Reads the list from a peer in the background.
+    fn fetch_list(&self, address: String) {
+        let (cx, tx) = (self.cx.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            if let Some(list) = fetch_list(&cx, &address).await {
+                let _ = tx.send(Message::List(Ok(list))).await;
+            }
+        });
+    }
+
+    fn publish(&mut self) {
+        let now = Instant::now();
+        let draining = *self.cx.draining.borrow();
+        let members = self.table.members(&self.list, draining, now);
+        self.note_changes(&members);
+        self.outputs.members.send_replace(Arc::new(members));
+        self.reported.retain(|_, (at, _)| now.duration_since(*at) <= LOAD_MAX_AGE);
+        let mut loads: Loads = self
+            .reported
+            .iter()
+            .map(|(name, (_, load))| (name.as_str().into(), load.clone()))
+            .collect();
+        for load in self.own_loads.borrow().iter() {
+            loads.insert(load.backend_server.as_str().into(), load.clone());
+        }
+        self.outputs.loads.send_replace(Arc::new(loads));
+    }
+
+    fn note_changes(&self, members: &Members) {
+        let before = self.outputs.members.borrow();
+        for name in members.suspected.difference(&before.suspected) {
+            self.cx.recorder.record(EventKind::Member, format!("instance {name} is suspected"));
+        }
+        for name in before.suspected.difference(&members.suspected) {
+            self.cx.recorder.record(EventKind::Member, format!("instance {name} is usable again"));
+        }
+    }
+}
+
+/// Sends one beat; returns what to tell the task.
+async fn send_beat(cx: &Context, member: &Member, beat: BeatRequest) -> Message {
+    let sent = Instant::now();
+    let peer = member.name.clone();
+    cx.metrics.add(Counter::PeerMessages, "beat", 1);
+    cx.metrics.add(Counter::PeerBytes, "beat", prost::Message::encoded_len(&beat) as u64);
+    let call = async {
+        let mut client = cx.pool.peer(&member.peer_address)?;
+        Ok::<_, Status>(client.beat(beat).await?.into_inner())
+    };
+    match tokio::time::timeout(cx.options.suspect_after, call).await {
+        Ok(Ok(reply)) => Message::Reply { peer, sent, reply },
+        Ok(Err(status)) => Message::Failed { peer, code: status.code() },
+        Err(_) => Message::Failed { peer, code: Code::DeadlineExceeded },
+    }
+}
+
+/// Reads the list of instances from a peer; none if it does not answer well in time.
+async fn fetch_list(cx: &Context, address: &str) -> Option<MemberList> {
+    let req = FetchConfigRequest {
+        known_version: u64::MAX,
+        known_shards: Vec::new(),
+        want_members: true,
+    };
+    let call = async {
+        let mut client = cx.pool.peer(address).ok()?;
+        Some(client.fetch_config(req).await.ok()?.into_inner())
+    };
+    let reply: FetchConfigReply =
+        tokio::time::timeout(cx.options.suspect_after, call).await.ok()??;
+    serde_json::from_slice(&reply.members).ok()
+}
+
+impl Members {
+    /// Returns the usable instances of a data centre in the order in which they take a role.
+    pub fn ranked(&self, role: &str, data_centre: &crate::names::DataCentreName) -> Vec<&Member> {
+        let mut ranked: Vec<&Member> = self
+            .listed
+            .values()
+            .filter(|member| member.data_centre == *data_centre && self.is_usable(member))
+            .collect();
+        ranked.sort_by_cached_key(|member| {
+            std::cmp::Reverse(members::weight(member.name.as_str(), role))
+        });
+        ranked
+    }
+}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -1,10 +1,16 @@
 //! Communication between instances: who is alive, who is home of what, and the calls themselves.
 
 pub mod generated;
+pub mod list;
 pub mod load;
 pub mod members;
+pub mod membership;
 pub mod pool;
+pub mod presence;
+// pub mod service;
+pub mod timeline;
 
 pub use load::{Loads, LoadsWatch};
 pub use members::{Member, Members, MembersWatch};
+pub use membership::{Heard, Membership};
 pub use pool::Pool;
--- /dev/null
+++ b/src/peer/presence.rs
@@ -0,0 +1,132 @@
+//! What this instance has heard from each peer, and what follows: suspected or certain.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::list::MemberList;
+use super::members::Members;
+use crate::names::InstanceName;
+
+/// Refused connections in a row after which a peer counts as gone at once.
+const REFUSALS_TO_SUSPECT: u32 = 2;
+
+/// Bounds of the failure detector.
+///
+/// `certain_within` is shorter than `suspect_after`: an instance stops being certain of a peer
+/// before that peer may suspect it, because the peer received the acknowledged beat after it was
+/// sent. Source of the rule: leases as in Gray and Cheriton (1989).
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Silence after which a peer is suspected.
+    pub suspect_after: Duration,
+    /// Age of the latest acknowledged own beat up to which this instance is certain of a peer.
+    pub certain_within: Duration,
+}
+
+impl Bounds {
+    /// Derives the bounds from the silence after which a peer is suspected.
+    pub fn new(suspect_after: Duration) -> Self {
+        Self { suspect_after, certain_within: suspect_after * 6 / 10 }
+    }
+}
+
+/// What was heard from one peer.
+#[derive(Debug, Clone)]
+struct Presence {
+    incarnation: u64,
+    listed_at: Instant,
+    heard_at: Option<Instant>,
+    /// When the latest beat that the peer acknowledged was sent.
+    acknowledged_at: Option<Instant>,
+    refusals: u32,
+    draining: bool,
+}
+
+/// What was heard from all peers.
+#[derive(Debug, Clone)]
+pub struct PresenceTable {
+    own: InstanceName,
+    bounds: Bounds,
+    peers: BTreeMap<InstanceName, Presence>,
+}
+
+impl PresenceTable {
+    /// Makes an empty table for the instance `own`.
+    pub fn new(own: InstanceName, bounds: Bounds) -> Self {
+        Self { own, bounds, peers: BTreeMap::new() }
+    }
+
+    /// Takes over a new list: forgets instances that left it, and starts to wait for new ones.
+    pub fn relist(&mut self, list: &MemberList, now: Instant) {
+        self.peers.retain(|name, _| list.members.contains_key(name));
+        for name in list.members.keys().filter(|name| **name != self.own) {
+            self.peers.entry(name.clone()).or_insert(Presence {
+                incarnation: 0,
+                listed_at: now,
+                heard_at: None,
+                acknowledged_at: None,
+                refusals: 0,
+                draining: false,
+            });
+        }
+    }
+
+    /// Notes that a beat or a reply arrived from a peer.
+    pub fn heard(&mut self, peer: &InstanceName, incarnation: u64, draining: bool, now: Instant) {
+        if let Some(presence) = self.peers.get_mut(peer) {
+            if presence.incarnation != incarnation {
+                presence.incarnation = incarnation;
+                presence.acknowledged_at = None;
+            }
+            presence.heard_at = Some(now);
+            presence.refusals = 0;
+            presence.draining = draining;
+        }
+    }
+
+    /// Notes that a peer acknowledged a beat that was sent at `sent`.
+    pub fn acknowledged(&mut self, peer: &InstanceName, sent: Instant) {
+        if let Some(presence) = self.peers.get_mut(peer) {
+            presence.acknowledged_at = presence.acknowledged_at.max(Some(sent));
+        }
+    }
+
+    /// Notes that a peer's port refused the connection.
+    pub fn refused(&mut self, peer: &InstanceName) {
+        if let Some(presence) = self.peers.get_mut(peer) {
+            presence.refusals += 1;
+        }
+    }
+
+    /// Returns the members as seen now.
+    pub fn members(&self, list: &MemberList, draining: bool, now: Instant) -> Members {
+        let mut members =
+            Members { revision: list.revision, listed: list.members.clone(), ..Members::default() };
+        for (name, presence) in &self.peers {
+            if presence.draining || self.is_silent(presence, now) {
+                members.suspected.insert(name.clone());
+            }
+            if self.is_certain(presence, now) {
+                members.certain.insert(name.clone());
+            }
+        }
+        if draining {
+            members.suspected.insert(self.own.clone());
+        }
+        members
+    }
+
+    fn is_silent(&self, presence: &Presence, now: Instant) -> bool {
+        let since = presence.heard_at.unwrap_or(presence.listed_at);
+        presence.refusals >= REFUSALS_TO_SUSPECT
+            || now.duration_since(since) > self.bounds.suspect_after
+    }
+
+    fn is_certain(&self, presence: &Presence, now: Instant) -> bool {
+        presence
+            .acknowledged_at
+            .is_some_and(|sent| now.duration_since(sent) <= self.bounds.certain_within)
+    }
+}
--- /dev/null
+++ b/src/peer/service.rs
@@ -0,0 +1,105 @@
+//! The peer service: receives the calls of other instances and passes them to the tasks.
+
+use tonic::service::Interceptor;
+use tonic::{Request, Response, Status};
+
+use super::generated::v1::peer_server::{Peer, PeerServer};
+use super::generated::v1::{
+    BeatReply, BeatRequest, FetchConfigReply, FetchConfigRequest, KeepUsageReply,
+    KeepUsageRequest, SpreadReply, SpreadRequest, TimelineReply, TimelineRequest,
+};
+use super::membership::Membership;
+use super::pool::{MAX_MESSAGE, SECRET_HEADER};
+use super::timeline;
+use crate::config::ConfigHandle;
+use crate::context::Context;
+use crate::options::Secret;
+use crate::usage::Ledger;
+
+/// Refuses calls that don't carry the fleet secret.
+#[derive(Clone)]
+pub struct CheckSecret {
+    secret: Secret,
+}
+
+impl CheckSecret {
+    /// Makes the check for a secret.
+    pub fn new(secret: Secret) -> Self {
+        Self { secret }
+    }
+}
+
+impl Interceptor for CheckSecret {
+    fn call(&mut self, req: Request<()>) -> Result<Request<()>, Status> {
+        let given = req.metadata().get(SECRET_HEADER).and_then(|value| value.to_str().ok());
+        match given {
+            Some(given) if self.secret.matches(given) => Ok(req),
+            Some(_) => Err(Status::unauthenticated("the fleet secret is wrong")),
+            None => Err(Status::unauthenticated("the fleet secret is missing")),
+        }
+    }
+}
+
+/// Serves the calls of peers.
+pub struct PeerService {
+    /// Shared parts of this instance.
+    pub cx: Context,
+    /// The membership task.
+    pub membership: Membership,
+    /// The configuration task.
+    pub config: ConfigHandle,
+    /// The usage task.
+    pub ledger: Ledger,
+}
+
+impl PeerService {
+    /// Wraps the service with the bound on message sizes.
+    pub fn into_server(self) -> PeerServer<Self> {
+        PeerServer::new(self)
+            .max_decoding_message_size(MAX_MESSAGE)
+            .max_encoding_message_size(MAX_MESSAGE)
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    async fn beat(&self, req: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
+        self.membership.receive(req.into_inner()).await.map(Response::new)
+    }
+
+    async fn fetch_config(
+        &self,
+        req: Request<FetchConfigRequest>,
+    ) -> Result<Response<FetchConfigReply>, Status> {
+        let req = req.into_inner();
+        let want_members = req.want_members;
+        let mut reply = self.config.fetch(req).await;
+        if want_members && let Some(list) = self.membership.current_list().await {
+            reply.members_revision = list.revision;
+            reply.members = serde_json::to_vec(&list)
+                .map_err(|error| Status::internal(format!("the instance list: {error}")))?;
+        }
+        Ok(Response::new(reply))
+    }
+
+    async fn spread(&self, req: Request<SpreadRequest>) -> Result<Response<SpreadReply>, Status> {
+        let req = req.into_inner();
+        self.cx.clock.observe(crate::clock::Hlc(req.hlc));
+        Ok(Response::new(self.config.receive(req).await))
+    }
+
+    async fn keep_usage(
+        &self,
+        req: Request<KeepUsageRequest>,
+    ) -> Result<Response<KeepUsageReply>, Status> {
+        self.ledger.keep(req.into_inner()).await;
+        Ok(Response::new(KeepUsageReply {}))
+    }
+
+    async fn timeline(
+        &self,
+        req: Request<TimelineRequest>,
+    ) -> Result<Response<TimelineReply>, Status> {
+        Ok(Response::new(timeline::local_reply(&self.cx, &req.into_inner())))
+    }
+}
--- /dev/null
+++ b/src/peer/timeline.rs
@@ -0,0 +1,90 @@
+//! The time line: events of all instances, merged into one order that respects cause.
+
+use futures::future::join_all;
+
+use super::generated::v1::{TimelineEvent, TimelineReply, TimelineRequest};
+use super::members::Member;
+use crate::clock::Hlc;
+use crate::context::Context;
+use crate::event::{Event, EventKind};
+use crate::names::InstanceName;
+
+/// Largest number of events taken from one instance.
+pub const MAX_FROM_ONE: usize = 5_000;
+/// How long a peer may take to send its events.
+const PEER_DEADLINE: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// The merged events, and the instances whose events are missing from them.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize)]
+pub struct Timeline {
+    /// The events, oldest first.
+    pub events: Vec<Event>,
+    /// Listed instances that did not answer in time.
+    pub missing: Vec<InstanceName>,
+}
+
+/// Collects the events of all listed instances after `since`.
+pub async fn collect(cx: &Context, since: Hlc) -> Timeline {
+    let members = cx.members.borrow().clone();
+    let peers = members.listed.values().filter(|member| member.name != cx.options.instance);
+    let answers = join_all(peers.map(|member| ask(cx, member, since))).await;
+    let mut timeline =
+        Timeline { events: cx.recorder.since(since, MAX_FROM_ONE), missing: Vec::new() };
+    for (name, events) in answers {
+        match events {
+            Some(events) => timeline.events.extend(events),
+            None => timeline.missing.push(name),
+        }
+    }
+    timeline.events.sort_by(|a, b| (a.at, &a.instance).cmp(&(b.at, &b.instance)));
+    timeline
+}
+
+/// Returns the events of this instance as a reply to a peer.
+pub fn local_reply(cx: &Context, req: &TimelineRequest) -> TimelineReply {
+    let limit = (req.limit as usize).min(MAX_FROM_ONE);
+    let events = cx.recorder.since(Hlc(req.since_hlc), limit);
+    TimelineReply { hlc: cx.clock.now().0, events: events.into_iter().map(to_message).collect() }
+}
+
+async fn ask(cx: &Context, member: &Member, since: Hlc) -> (InstanceName, Option<Vec<Event>>) {
+    let req = TimelineRequest { since_hlc: since.0, limit: MAX_FROM_ONE as u32 };
+    let call = async {
+        let mut client = cx.pool.peer(&member.peer_address).ok()?;
+        Some(client.timeline(req).await.ok()?.into_inner())
+    };
+    let reply = tokio::time::timeout(PEER_DEADLINE, call).await.ok().flatten();
+    if let Some(reply) = &reply {
+        cx.clock.observe(Hlc(reply.hlc));
+    }
+    let events = reply.map(|reply| reply.events.into_iter().filter_map(from_message).collect());
+    (member.name.clone(), events)
+}
+
+fn to_message(event: Event) -> TimelineEvent {
+    let text = |name: Option<String>| name.unwrap_or_default();
+    TimelineEvent {
+        hlc: event.at.0,
+        instance: event.instance.to_string(),
+        kind: event.kind.as_str().to_owned(),
+        request: text(event.request.map(|name| name.to_string())),
+        organisation: text(event.organisation.map(|name| name.to_string())),
+        backend_server: text(event.backend_server.map(|name| name.to_string())),
+        detail: event.detail,
+    }
+}
+
+/// Reads an event from a message; none if its kind is unknown to this version.
+fn from_message(message: TimelineEvent) -> Option<Event> {
+    let kind = EventKind::ALL.into_iter().find(|kind| kind.as_str() == message.kind)?;
+    let given = |text: String| (!text.is_empty()).then_some(text);
+    Some(Event {
+        at: Hlc(message.hlc),
+        instance: message.instance.into(),
+        kind,
+        request: given(message.request).map(Into::into),
+        organisation: given(message.organisation).map(Into::into),
+        backend_server: given(message.backend_server).map(Into::into),
+        detail: message.detail,
+    })
+}
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,189 @@
+//! One running instance: builds the shared parts, starts the tasks and stops them in order.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::service::interceptor::InterceptedService;
+use tonic::transport::Server;
+
+use crate::claim::Claims;
+use crate::clock::Clock;
+use crate::config::{self, ConfigHandle, InForce};
+use crate::context::Context;
+use crate::event::{EventKind, Recorder};
+use crate::home::{self, Admitter, Homes};
+use crate::metrics::Metrics;
+use crate::options::Options;
+use crate::peer::membership::{Heard, Outputs};
+use crate::peer::service::{CheckSecret, PeerService};
+use crate::peer::{Loads, Members, Membership, Pool};
+use crate::platform::Objects;
+use crate::timer::Timer;
+use crate::usage::{self, Ledger};
+use crate::{admin, entry, orders};
+
+/// Reports of peers' configuration that may wait to be compared.
+const HEARD_QUEUE: usize = 1_024;
+/// Period of keepalive pings on connections from peers.
+const PING_PERIOD: Duration = Duration::from_secs(1);
+/// Time without a ping answer after which a connection from a peer is closed.
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+/// Requests that one peer connection may have open at once.
+const MAX_PEER_STREAMS: u32 = 20_000;
+
+/// The sockets of one instance, bound before anything else starts.
+pub struct Sockets {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For peers.
+    pub peers: TcpListener,
+    /// For operators and metrics.
+    pub admin: TcpListener,
+}
+
+impl Sockets {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    /// Says which address can't be bound.
+    pub async fn bind(options: &Options) -> eyre::Result<Self> {
+        let bind = async |address, flag| {
+            TcpListener::bind(address).await.wrap_err_with(|| format!("--{flag} {address}"))
+        };
+        Ok(Self {
+            callers: bind(options.listen, "listen").await?,
+            peers: bind(options.peer_listen, "peer-listen").await?,
+            admin: bind(options.admin_listen, "admin-listen").await?,
+        })
+    }
+}
+
+/// Senders of the views that the context lets every part read.
+struct Views {
+    in_force: watch::Sender<Arc<InForce>>,
+    members: watch::Sender<Arc<Members>>,
+    loads: watch::Sender<Arc<Loads>>,
+    draining: watch::Sender<bool>,
+}
+
+/// Runs an instance until `stop` resolves and every request has ended.
+///
+/// # Errors
+/// Fails if a part can't be started or a socket fails.
+pub async fn run(
+    options: Options,
+    sockets: Sockets,
+    stop: impl Future<Output = ()>,
+) -> eyre::Result<()> {
+    let (cx, views) = build_context(options)?;
+    let Views { in_force, members, loads, draining } = views;
+    cx.recorder.record(EventKind::Instance, "started");
+
+    let config = config::start(cx.clone(), in_force);
+    let homes = home::start(cx.clone());
+    let ledger = usage::start(cx.clone());
+    let claims = Claims::new(cx.clone());
+    let (heard, heard_rx) = mpsc::channel(HEARD_QUEUE);
+    let outputs = Outputs { members, loads, heard };
+    let membership = Membership::start(cx.clone(), homes.loads(), outputs)?;
+    tokio::spawn(compare_configs(heard_rx, config.clone()));
+    orders::start(cx.clone(), config.clone());
+
+    let peers = PeerService {
+        cx: cx.clone(),
+        membership,
+        config: config.clone(),
+        ledger: ledger.clone(),
+    };
+    let mut peers = tokio::spawn(serve_peers(sockets.peers, cx.clone(), peers, homes));
+    let admin = admin::serve(sockets.admin, cx.clone(), config);
+    let mut admin = tokio::spawn(admin);
+    let admitter = Admitter::new(cx.clone());
+    let entry = entry::serve(sockets.callers, cx.clone(), admitter, ledger.clone(), claims);
+    let mut entry = tokio::spawn(entry);
+    tracing::info!(instance = %cx.options.instance, listen = %cx.options.listen, "serving");
+
+    tokio::select! {
+        () = stop => {}
+        ended = &mut entry => ended??,
+        ended = &mut admin => ended??,
+        ended = &mut peers => ended??,
+    }
+    drain(&cx, &draining, entry, &ledger).await
+}
+
+fn build_context(options: Options) -> eyre::Result<(Context, Views)> {
+    let (in_force_tx, in_force) = watch::channel(Arc::default());
+    let (members_tx, members) = watch::channel(Arc::default());
+    let (loads_tx, loads) = watch::channel(Arc::default());
+    let (draining_tx, draining) = watch::channel(false);
+    let clock = Clock::default();
+    let cx = Context {
+        incarnation: rand::random(),
+        recorder: Recorder::new(options.instance.clone(), clock.clone()),
+        clock,
+        timer: Timer::start(),
+        metrics: Metrics::default(),
+        objects: Objects::new(&options.platform)?,
+        pool: Pool::new(&options.fleet_secret)?,
+        options: Arc::new(options),
+        in_force,
+        members,
+        loads,
+        draining,
+    };
+    let views =
+        Views { in_force: in_force_tx, members: members_tx, loads: loads_tx, draining: draining_tx };
+    Ok((cx, views))
+}
+
+/// Passes what beats say of peers' configuration on to the configuration task.
+async fn compare_configs(mut rx: mpsc::Receiver<Heard>, config: ConfigHandle) {
+    while let Some(Heard { member, config_version, marks_digest }) = rx.recv().await {
+        config.heard(member, config_version, marks_digest);
+    }
+}
+
+/// Serves the calls of peers until the process ends.
+async fn serve_peers(
+    listener: TcpListener,
+    cx: Context,
+    peers: PeerService,
+    homes: Homes,
+) -> eyre::Result<()> {
+    let check = CheckSecret::new(cx.options.fleet_secret.clone());
+    let peers = InterceptedService::new(peers.into_server(), check.clone());
+    let homes = InterceptedService::new(home::service(homes), check);
+    Server::builder()
+        .tcp_nodelay(true)
+        .http2_keepalive_interval(Some(PING_PERIOD))
+        .http2_keepalive_timeout(Some(PING_TIMEOUT))
+        .max_concurrent_streams(Some(MAX_PEER_STREAMS))
+        .add_service(peers)
+        .add_service(homes)
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await
+        .wrap_err("the peer service failed")
+}
+
+/// Shuts down: gives homes and leases away, lets requests end, then makes usage durable.
+async fn drain(
+    cx: &Context,
+    draining: &watch::Sender<bool>,
+    entry: tokio::task::JoinHandle<eyre::Result<()>>,
+    ledger: &Ledger,
+) -> eyre::Result<()> {
+    cx.recorder.record(EventKind::Instance, "draining");
+    tracing::info!("draining");
+    draining.send_replace(true);
+    if !entry.is_finished() {
+        tokio::time::timeout(cx.options.drain_bound, entry).await.ok().transpose()?.transpose()?;
+    }
+    ledger.flush().await;
+    tracing::info!("stopped");
+    Ok(())
+}
