--- /dev/null
+++ b/examples/standin.rs
@@ -0,0 +1,101 @@
+//! Runs one stand-in as a process: `standin platform|engine|plain [OPTIONS]`.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use eyre::{WrapErr, bail};
+use getopts::{Matches, Options};
+use standins::{Engine, EngineSettings, Plain, PlainSettings, Platform, PlatformSettings};
+
+const OVERVIEW: &str = "Usage: standin platform|engine|plain [OPTIONS]";
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let flags = flags();
+    let matches = flags.parse(std::env::args().skip(1))?;
+    if matches.opt_present("help") {
+        print!("{}", flags.usage(OVERVIEW));
+        return Ok(());
+    }
+    match matches.free.iter().map(String::as_str).collect::<Vec<_>>().as_slice() {
+        ["platform"] => run_platform(&matches).await,
+        ["engine"] => run_engine(&matches).await,
+        ["plain"] => run_plain(&matches).await,
+        _ => bail!("{}", flags.usage(OVERVIEW)),
+    }
+}
+
+fn flags() -> Options {
+    let mut flags = Options::new();
+    flags.optopt("", "listen", "Address to listen on", "IP:PORT");
+    flags.optopt("", "writes", "platform: object writes a second", "COUNT");
+    flags.optopt("", "reads", "platform: reads and watches a second", "COUNT");
+    flags.optopt("", "list-lag-ms", "platform: lag of the instance list", "MS");
+    flags.optopt("", "model", "engine: name of its model", "NAME");
+    flags.optopt("", "slots", "engine: requests that run at once", "COUNT");
+    flags.optopt("", "token-gap-us", "engine: time between tokens", "US");
+    flags.optopt("", "cold-ms", "engine: time until it is warm", "MS");
+    flags.optopt("", "cold-limit", "engine: requests that it bears while cold", "COUNT");
+    flags.optopt("", "report-lag-ms", "engine: lag of its load report", "MS");
+    flags.optflag("h", "help", "Print this help");
+    flags
+}
+
+/// Reads an option, if it was given.
+fn read<T: FromStr>(matches: &Matches, flag: &str) -> eyre::Result<Option<T>>
+where
+    T::Err: std::error::Error + Send + Sync + 'static,
+{
+    let Some(text) = matches.opt_str(flag) else { return Ok(None) };
+    text.parse().map(Some).wrap_err_with(|| format!("--{flag} {text}"))
+}
+
+fn listen(matches: &Matches) -> eyre::Result<SocketAddr> {
+    Ok(read(matches, "listen")?.unwrap_or(standins::ANY_PORT))
+}
+
+fn millis(matches: &Matches, flag: &str) -> eyre::Result<Duration> {
+    Ok(Duration::from_millis(read(matches, flag)?.unwrap_or(0)))
+}
+
+async fn run_platform(matches: &Matches) -> eyre::Result<()> {
+    let settings = PlatformSettings {
+        listen: listen(matches)?,
+        writes_per_second: read(matches, "writes")?,
+        reads_per_second: read(matches, "reads")?,
+        list_lag: millis(matches, "list-lag-ms")?,
+        ..Default::default()
+    };
+    let platform = Platform::start(settings).await?;
+    wait(&platform.url()).await
+}
+
+async fn run_engine(matches: &Matches) -> eyre::Result<()> {
+    let usual = EngineSettings::default();
+    let gap = read(matches, "token-gap-us")?.map_or(usual.token_gap, Duration::from_micros);
+    let settings = EngineSettings {
+        listen: listen(matches)?,
+        model: read(matches, "model")?.unwrap_or(usual.model.clone()),
+        slots: read(matches, "slots")?.unwrap_or(usual.slots),
+        token_gap: gap,
+        cold_start: millis(matches, "cold-ms")?,
+        cold_limit: read(matches, "cold-limit")?.unwrap_or(usual.cold_limit),
+        report_lag: millis(matches, "report-lag-ms")?,
+        ..usual
+    };
+    let engine = Engine::start(settings).await?;
+    wait(&engine.url()).await
+}
+
+async fn run_plain(matches: &Matches) -> eyre::Result<()> {
+    let plain = Plain::start(PlainSettings { listen: listen(matches)? }).await?;
+    wait(&plain.url()).await
+}
+
+/// Prints the base URL and waits for an interrupt.
+async fn wait(url: &str) -> eyre::Result<()> {
+    println!("{url}");
+    tokio::signal::ctrl_c().await?;
+    Ok(())
+}
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -10,6 +10,7 @@
 pub use settings::{EngineFaults, EngineSettings};
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -65,6 +66,11 @@
         self.host.url()
     }
 
+    /// Returns the address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
     /// Returns the relay that all connections pass; it records every byte received.
     pub fn relay(&self) -> &Relay {
         self.host.relay()
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -90,6 +90,11 @@
         self.host.url()
     }
 
+    /// Returns the address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
     /// Returns the relay that all connections pass.
     pub fn relay(&self) -> &Relay {
         self.host.relay()
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -15,6 +15,7 @@
 pub use usage::{Report, ReportEnd, UsageFigures};
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -70,6 +71,11 @@
         self.host.url()
     }
 
+    /// Returns the address to connect to.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
     /// Returns the relay that all connections pass.
     pub fn relay(&self) -> &Relay {
         self.host.relay()
@@ -130,6 +136,11 @@
         lock(&self.state.servers).set_checks_fencing(data_centre, server, checks);
     }
 
+    /// Sets whether a backend server runs, without an order.
+    pub fn set_running(&self, data_centre: &str, server: &str, running: bool) {
+        lock(&self.state.servers).set_running(data_centre, server, running);
+    }
+
     /// Returns all orders in the order of arrival.
     pub fn orders(&self) -> Vec<Order> {
         lock(&self.state.servers).orders()
--- a/standins/src/platform/orders.rs
+++ b/standins/src/platform/orders.rs
@@ -77,6 +77,11 @@
         self.server(centre, name).checks_fencing = checks;
     }
 
+    /// Sets whether a backend server runs, without an order.
+    pub(super) fn set_running(&mut self, centre: &str, name: &str, running: bool) {
+        self.server(centre, name).runs_from = running.then(Instant::now);
+    }
+
     pub(super) fn orders(&self) -> Vec<Order> {
         self.orders.clone()
     }
