Add leases with fencing numbers and permits

Cause: orders and usage reports need one doer. A holder counts its term from before a renewal is sent on the boot-time clock; a successor waits a term from when it first saw the stored version. Written times are not used, as clocks of instances differ.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -88,8 +88,38 @@
         Self(Duration::new(ts.tv_sec as u64, ts.tv_nsec as u32))
     }
 
+    /// Returns the point this long after the machine started.
+    pub fn from_start(since_start: Duration) -> Self {
+        Self(since_start)
+    }
+
+    /// Returns the point this long after this one.
+    pub fn after(self, delay: Duration) -> Self {
+        Self(self.0.saturating_add(delay))
+    }
+
     /// Returns the time since an earlier point; zero if that point is later.
     pub fn since(self, earlier: Self) -> Duration {
         self.0.saturating_sub(earlier.0)
     }
 }
+
+/// A boot-time clock that can be moved forward; clones move together.
+///
+/// Moving it has the effect of a process that was paused for that long.
+#[derive(Debug, Clone, Default)]
+pub struct BootClock {
+    ahead_micros: Arc<AtomicU64>,
+}
+
+impl BootClock {
+    /// Reads the clock.
+    pub fn now(&self) -> BootTime {
+        BootTime::now().after(Duration::from_micros(self.ahead_micros.load(Ordering::SeqCst)))
+    }
+
+    /// Moves the clock forward.
+    pub fn advance(&self, by: Duration) {
+        self.ahead_micros.fetch_add(by.as_micros() as u64, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/src/platform/lease/claimant.rs
@@ -0,0 +1,246 @@
+//! The decisions of one instance that holds or wants a lease, without any input or output.
+
+use std::time::Duration;
+
+use crate::clock::BootTime;
+use crate::names::InstanceName;
+use crate::platform::{Object, PlatformError};
+
+/// Writes without an answer that are remembered until one of them is read back.
+const MAX_UNRESOLVED: usize = 8;
+
+value! {
+    /// A process that may hold a lease; a restarted instance is another holder.
+    pub struct Holder {
+        /// The instance.
+        pub instance: InstanceName,
+        /// Random number chosen when the process started.
+        pub incarnation: u64,
+    }
+
+    /// A lease as stored.
+    pub struct LeaseRecord {
+        /// The holder; none if the lease was released.
+        pub holder: Option<Holder>,
+        /// Fencing number: grows each time the holder changes.
+        pub epoch: u64,
+        /// Number of the holder's write, which tells its writes apart.
+        pub renewal: u64,
+        /// Term in milliseconds.
+        pub term_ms: u64,
+    }
+}
+
+/// Durations of a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseSettings {
+    /// Term: time from sending a renewal to the end of the lease.
+    pub term: Duration,
+    /// Time before the end at which the holder stops acting; covers clocks of unequal rate.
+    pub margin: Duration,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        Self::from_term(Duration::from_secs(10))
+    }
+}
+
+impl LeaseSettings {
+    /// Returns the settings of a term, with a tenth of it as margin.
+    pub fn from_term(term: Duration) -> Self {
+        Self { term, margin: term / 10 }
+    }
+}
+
+/// A conditional write, with the time before it was sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseWrite {
+    /// The version to replace; none to create the object.
+    pub version: Option<String>,
+    /// The new value.
+    pub record: LeaseRecord,
+    /// When the write was decided, which is before it is sent.
+    pub sent_at: BootTime,
+}
+
+/// The next call to the object API.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeaseCall {
+    /// Read the lease.
+    Read,
+    /// Write the lease.
+    Write(LeaseWrite),
+}
+
+/// A stored version and when this instance first saw it.
+#[derive(Debug, Clone)]
+struct Seen {
+    version: String,
+    record: LeaseRecord,
+    since: BootTime,
+}
+
+/// What this instance holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Tenancy {
+    /// Fencing number.
+    pub epoch: u64,
+    /// When the holder must have stopped acting.
+    pub until: BootTime,
+}
+
+/// One instance that holds or wants a lease.
+#[derive(Debug, Clone)]
+pub struct Claimant {
+    me: Holder,
+    settings: LeaseSettings,
+    seen: Option<Seen>,
+    stale: bool,
+    held: Option<Tenancy>,
+    renewals: u64,
+    unresolved: Vec<(u64, BootTime)>,
+}
+
+impl Claimant {
+    /// Makes a claimant that knows nothing of the stored lease yet.
+    pub fn new(me: Holder, settings: LeaseSettings) -> Self {
+        Self {
+            me,
+            settings,
+            seen: None,
+            stale: true,
+            held: None,
+            renewals: 0,
+            unresolved: Vec::new(),
+        }
+    }
+
+    /// Returns what this instance holds at this time.
+    pub fn held(&self, now: BootTime) -> Option<Tenancy> {
+        self.held.filter(|held| now < held.until)
+    }
+
+    /// Returns the stored lease as last seen.
+    pub fn record(&self) -> Option<&LeaseRecord> {
+        self.seen.as_ref().map(|seen| &seen.record)
+    }
+
+    /// Returns whether what is known may be outdated, so that it must be read before a write.
+    pub fn must_read(&self) -> bool {
+        self.stale
+    }
+
+    /// Decides the next call: renew, claim a lease that is free or ran out, or look again.
+    pub fn next_call(&mut self, now: BootTime) -> LeaseCall {
+        if self.stale {
+            return LeaseCall::Read;
+        }
+        let Some(seen) = self.seen.clone() else {
+            return self.write(now, None, Some(self.me.clone()), 1);
+        };
+        let epoch = seen.record.epoch;
+        match &seen.record.holder {
+            Some(holder) if *holder == self.me => {
+                self.write(now, Some(seen.version), Some(self.me.clone()), epoch)
+            }
+            Some(_) if !self.ran_out(&seen, now) => LeaseCall::Read,
+            _ => self.write(now, Some(seen.version), Some(self.me.clone()), epoch + 1),
+        }
+    }
+
+    /// Gives the lease up and returns the write that tells others; none if it isn't held.
+    ///
+    /// The caller must have ended everything that it does under the lease.
+    pub fn release(&mut self, now: BootTime) -> Option<LeaseCall> {
+        self.held = None;
+        let seen = self.seen.clone()?;
+        if seen.record.holder.as_ref() != Some(&self.me) {
+            return None;
+        }
+        Some(self.write(now, Some(seen.version), None, seen.record.epoch))
+    }
+
+    /// Takes the answer of a read that arrived at `now`.
+    pub fn on_read(
+        &mut self,
+        now: BootTime,
+        answer: Result<Option<Object<LeaseRecord>>, PlatformError>,
+    ) {
+        let Ok(found) = answer else { return };
+        self.stale = false;
+        let Some(object) = found else {
+            self.seen = None;
+            self.held = None;
+            return;
+        };
+        self.adopt(&object.spec);
+        let known = self.seen.as_ref().is_some_and(|seen| seen.version == object.version);
+        if !known {
+            self.seen = Some(Seen { version: object.version, record: object.spec, since: now });
+        }
+    }
+
+    /// Takes the answer of a write.
+    pub fn on_write(&mut self, write: LeaseWrite, answer: Result<String, PlatformError>) {
+        let LeaseWrite { record, sent_at, .. } = write;
+        match answer {
+            Ok(version) => {
+                self.hold(&record, sent_at);
+                self.unresolved.clear();
+                self.seen = Some(Seen { version, record, since: sent_at });
+            }
+            Err(PlatformError::Refused(_)) => {}
+            Err(PlatformError::Conflict | PlatformError::NotFound) => self.stale = true,
+            Err(PlatformError::Unknown(_) | PlatformError::Malformed(_)) => {
+                self.stale = true;
+                self.remember(record.renewal, sent_at);
+            }
+        }
+    }
+
+    /// Takes note of a stored lease: whether it is held here, and since when.
+    fn adopt(&mut self, record: &LeaseRecord) {
+        if record.holder.as_ref() != Some(&self.me) {
+            self.held = None;
+            return;
+        }
+        let sent = self.unresolved.iter().find(|(renewal, _)| *renewal == record.renewal);
+        if let Some((_, sent_at)) = sent.copied() {
+            self.hold(record, sent_at);
+            self.unresolved.clear();
+        }
+    }
+
+    fn hold(&mut self, record: &LeaseRecord, sent_at: BootTime) {
+        let until = sent_at.after(self.settings.term.saturating_sub(self.settings.margin));
+        let holds = record.holder.as_ref() == Some(&self.me);
+        self.held = holds.then_some(Tenancy { epoch: record.epoch, until });
+    }
+
+    fn remember(&mut self, renewal: u64, sent_at: BootTime) {
+        if self.unresolved.len() == MAX_UNRESOLVED {
+            self.unresolved.remove(0);
+        }
+        self.unresolved.push((renewal, sent_at));
+    }
+
+    /// Returns whether another holder's lease has surely ended.
+    fn ran_out(&self, seen: &Seen, now: BootTime) -> bool {
+        let term = self.settings.term.max(Duration::from_millis(seen.record.term_ms));
+        now.since(seen.since) >= term
+    }
+
+    fn write(
+        &mut self,
+        now: BootTime,
+        version: Option<String>,
+        holder: Option<Holder>,
+        epoch: u64,
+    ) -> LeaseCall {
+        self.renewals += 1;
+        let term_ms = self.settings.term.as_millis() as u64;
+        let record = LeaseRecord { holder, epoch, renewal: self.renewals, term_ms };
+        LeaseCall::Write(LeaseWrite { version, record, sent_at: now })
+    }
+}
--- /dev/null
+++ b/src/platform/lease/mod.rs
@@ -0,0 +1,16 @@
+//! Leases: at most one instance acts in a role at any time, without any clock being set right.
+//!
+//! A holder counts its term from before it sent the renewal and stops a margin before the end; a
+//! successor waits a whole term by its own clock since it first saw the stored version. Both use
+//! the boot-time clock, which runs while a machine is suspended. See Gray and Cheriton, "Leases:
+//! An Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency" (1989).
+
+pub mod claimant;
+pub mod live;
+pub mod role;
+pub mod task;
+
+pub use claimant::{Claimant, Holder, LeaseCall, LeaseRecord, LeaseSettings, LeaseWrite};
+pub use live::{LeaseWatch, LiveLease, Permit};
+pub use role::Role;
+pub use task::LeaseTask;
--- /dev/null
+++ b/src/platform/lease/role.rs
@@ -0,0 +1,42 @@
+//! Which instances contend for a lease, so that calls do not grow with the fleet.
+
+use std::cmp::Reverse;
+
+use crate::names::{DataCentreName, InstanceName};
+use crate::peer::Members;
+use crate::peer::members::weight;
+
+/// Instances that contend for a lease at once.
+pub const CONTENDERS: usize = 3;
+
+/// A role that one instance at a time has.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Role {
+    /// Name of the lease.
+    pub name: String,
+    /// Data centre whose instances are preferred.
+    pub data_centre: Option<DataCentreName>,
+}
+
+impl Role {
+    /// Returns whether an instance is among the best-ranked usable ones.
+    ///
+    /// An instance that the list does not show yet contends, since it may be the only one.
+    pub fn contends(&self, members: &Members, me: &InstanceName) -> bool {
+        let Some(own) = members.listed.get(me) else { return true };
+        if own.leaving {
+            return false;
+        }
+        let rank = |name: &InstanceName, data_centre: &DataCentreName| {
+            let near = self.data_centre.as_ref().is_none_or(|wanted| wanted == data_centre);
+            (!near, Reverse(weight(name.as_str(), &self.name)))
+        };
+        let own_rank = rank(me, &own.data_centre);
+        let better = members
+            .listed
+            .values()
+            .filter(|member| member.name != *me && members.is_usable(member))
+            .filter(|member| rank(&member.name, &member.data_centre) < own_rank);
+        better.count() < CONTENDERS
+    }
+}
--- /dev/null
+++ b/src/platform/lease/task.rs
@@ -0,0 +1,179 @@
+//! The task that keeps one lease: it owns the claimant's state and calls the object API.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use tokio::sync::watch;
+
+use super::claimant::{Claimant, Holder, LeaseCall, LeaseRecord, LeaseSettings, LeaseWrite};
+use super::live::{LeaseWatch, LiveLease, Shared};
+use super::role::Role;
+use crate::clock::BootClock;
+use crate::context::Context;
+use crate::event::EventKind;
+use crate::metrics::Counter;
+use crate::platform::{Object, PlatformError, StoreKind};
+
+/// Looks or renewals within one term.
+const LOOKS_IN_TERM: u32 = 4;
+/// Pauses between two calls of an instance that does not contend.
+const IDLE_LOOKS: u32 = 24;
+/// Calls made in one round, so that a read can be followed by a claim and its read-back.
+const CALLS_IN_ROUND: usize = 3;
+/// Period at which a release checks whether permits are still in use.
+const RELEASE_POLL: Duration = Duration::from_millis(10);
+
+/// Keeps one lease until the instance drains.
+pub struct LeaseTask {
+    cx: Context,
+    role: Role,
+    settings: LeaseSettings,
+    clock: BootClock,
+    claimant: Claimant,
+    shared: Arc<Shared>,
+    tx: watch::Sender<Option<LiveLease>>,
+}
+
+impl LeaseTask {
+    /// Starts to contend for a lease.
+    pub fn start(cx: Context, role: Role) -> LeaseWatch {
+        Self::start_with_clock(cx, role, BootClock::default())
+    }
+
+    /// Starts to contend for a lease by a given clock.
+    pub fn start_with_clock(cx: Context, role: Role, clock: BootClock) -> LeaseWatch {
+        let (tx, rx) = watch::channel(None);
+        let settings = LeaseSettings::from_term(cx.options.lease_term);
+        let me = Holder { instance: cx.options.instance.clone(), incarnation: cx.incarnation };
+        let task = Self {
+            claimant: Claimant::new(me, settings),
+            shared: Arc::default(),
+            cx,
+            role,
+            settings,
+            clock,
+            tx,
+        };
+        tokio::spawn(task.run());
+        LeaseWatch::new(rx)
+    }
+
+    async fn run(mut self) {
+        let mut draining = self.cx.draining.clone();
+        let mut idle_looks = 0;
+        while !*draining.borrow() {
+            if self.is_active() || idle_looks == 0 {
+                self.round().await;
+                idle_looks = IDLE_LOOKS;
+            }
+            idle_looks -= 1;
+            let mut pause = self.cx.timer.after(self.pause());
+            tokio::select! {
+                _ = pause.recv() => {}
+                changed = draining.changed() => if changed.is_err() { break },
+            }
+        }
+        self.release().await;
+    }
+
+    /// Returns the time until the next round, jittered so that instances do not act in step.
+    fn pause(&self) -> Duration {
+        let base = self.settings.term / LOOKS_IN_TERM;
+        base.mul_f64(rand::rng().random_range(0.8..1.0))
+    }
+
+    /// Returns whether this instance holds the lease or is among those that contend for it.
+    fn is_active(&self) -> bool {
+        let members = self.cx.members.borrow().clone();
+        self.claimant.held(self.clock.now()).is_some()
+            || self.role.contends(&members, &self.cx.options.instance)
+    }
+
+    /// Reads, renews or claims once, and reads back a write whose answer was lost.
+    async fn round(&mut self) {
+        for _ in 0..CALLS_IN_ROUND {
+            let call = self.claimant.next_call(self.clock.now());
+            let was_read = call == LeaseCall::Read;
+            self.perform(call).await;
+            self.publish();
+            let settled = !was_read && !self.claimant.must_read();
+            if settled || (was_read && !self.claimable()) {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether the next call would be a write.
+    fn claimable(&self) -> bool {
+        matches!(self.claimant.clone().next_call(self.clock.now()), LeaseCall::Write(_))
+    }
+
+    async fn perform(&mut self, call: LeaseCall) {
+        self.cx.metrics.add(Counter::PlatformCalls, StoreKind::Leases.as_str(), 1);
+        match call {
+            LeaseCall::Read => {
+                let answer = self.read().await;
+                self.claimant.on_read(self.clock.now(), answer);
+            }
+            LeaseCall::Write(write) => {
+                let answer = self.write(&write).await;
+                self.claimant.on_write(write, answer);
+            }
+        }
+    }
+
+    async fn read(&self) -> Result<Option<Object<LeaseRecord>>, PlatformError> {
+        match self.cx.objects.get(StoreKind::Leases, &self.role.name).await {
+            Ok(object) => Ok(Some(object)),
+            Err(PlatformError::NotFound) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    async fn write(&self, write: &LeaseWrite) -> Result<String, PlatformError> {
+        let LeaseWrite { version, record, .. } = write;
+        let (objects, name) = (&self.cx.objects, self.role.name.as_str());
+        match version {
+            Some(version) => objects.update(StoreKind::Leases, name, version, record).await,
+            None => objects.create(StoreKind::Leases, name, record).await,
+        }
+    }
+
+    /// Shows the holder's state to the watchers.
+    fn publish(&mut self) {
+        let before = self.tx.borrow().as_ref().map(LiveLease::epoch);
+        let held = self.claimant.held(self.clock.now());
+        let after = held.map(|tenancy| tenancy.epoch);
+        if before != after {
+            self.announce(before, after);
+            self.shared = Arc::default();
+        }
+        let live =
+            held.map(|tenancy| LiveLease::new(tenancy, self.clock.clone(), self.shared.clone()));
+        self.tx.send_replace(live);
+    }
+
+    fn announce(&self, before: Option<u64>, after: Option<u64>) {
+        let name = &self.role.name;
+        if let Some(epoch) = before {
+            self.cx.recorder.record(EventKind::Lease, format!("lost {name}, epoch {epoch}"));
+        }
+        if let Some(epoch) = after {
+            self.cx.recorder.record(EventKind::Lease, format!("won {name}, epoch {epoch}"));
+        }
+    }
+
+    /// Ends all permits, then tells the others that the lease is free.
+    async fn release(mut self) {
+        self.shared.stop();
+        while self.shared.permits() > 0 && self.claimant.held(self.clock.now()).is_some() {
+            tokio::time::sleep(RELEASE_POLL).await;
+        }
+        let call = self.claimant.release(self.clock.now());
+        if let Some(call) = call {
+            self.perform(call).await;
+        }
+        self.publish();
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,5 +1,7 @@
 //! The platform: its object API, its list of instances and its other interfaces.
 
+pub mod lease;
 pub mod objects;
 
+pub use lease::{LeaseTask, LeaseWatch, LiveLease, Permit, Role};
 pub use objects::{Object, Objects, PlatformError, StoreKind};
