Let each instance see the platform through a port of its own

Cutting an instance from its peers only, in both directions, needs relays for each ordered pair, so the list must show each viewer its own addresses; one relay in front of each instance would cut one direction only.

--- a/standins/src/platform/instances.rs
+++ b/standins/src/platform/instances.rs
@@ -68,9 +68,17 @@
         self.versions.set_lag(lag);
     }
 
-    pub(super) fn list(&self) -> Reply {
+    /// Lists the instances; `seen_at` replaces addresses of their peer services.
+    pub(super) fn list(&self, seen_at: &BTreeMap<String, SocketAddr>) -> Reply {
         let (version, _) = self.versions.read();
-        let items: Vec<Value> = version.listed.values().map(endpoint_slice).collect();
+        let items: Vec<Value> = version
+            .listed
+            .values()
+            .map(|instance| {
+                let address = seen_at.get(&instance.name).copied();
+                endpoint_slice(instance, address.unwrap_or(instance.peer_address))
+            })
+            .collect();
         let metadata = json!({ "resourceVersion": version.revision.to_string() });
         Reply::Json(
             200,
@@ -91,9 +99,9 @@
     }
 }
 
-fn endpoint_slice(instance: &ListedInstance) -> Value {
+fn endpoint_slice(instance: &ListedInstance, address: SocketAddr) -> Value {
     let endpoint = json!({
-        "addresses": [instance.peer_address.ip().to_string()],
+        "addresses": [address.ip().to_string()],
         "zone": instance.data_centre,
         "conditions": { "ready": instance.ready, "terminating": instance.terminating },
     });
@@ -101,6 +109,6 @@
         "metadata": { "name": instance.name },
         "addressType": "IPv4",
         "endpoints": [endpoint],
-        "ports": [{ "name": "peer", "port": instance.peer_address.port() }],
+        "ports": [{ "name": "peer", "port": address.port() }],
     })
 }
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -7,12 +7,14 @@
 mod orders;
 mod settings;
 mod usage;
+mod view;
 mod watch;
 
 pub use instances::ListedInstance;
 pub use orders::{Order, OrderEnd};
 pub use settings::{LostAnswer, Outage, PlatformFaults, PlatformSettings};
 pub use usage::{Report, ReportEnd, UsageFigures};
+pub use view::View;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -111,6 +113,14 @@
         self.state.store.specs(kind)
     }
 
+    /// Opens another port to the same platform, to cut off the one who uses it.
+    ///
+    /// # Errors
+    /// Fails if no port can be bound.
+    pub async fn view(&self) -> eyre::Result<View> {
+        View::start(Arc::clone(&self.state)).await
+    }
+
     /// Adds an instance to the list, or changes it.
     pub fn register(&self, instance: ListedInstance) {
         lock(&self.state.instances).register(instance);
@@ -172,7 +182,7 @@
     }
 
     /// Counts a call, applies the faults and passes it on.
-    async fn take(&self, call: Call) -> Reply {
+    async fn take(&self, call: Call, seen_at: &BTreeMap<String, SocketAddr>) -> Reply {
         let label = label(&call);
         let within_rate = lock(&self.calls).count(&label);
         let faults = lock(&self.faults).clone();
@@ -186,7 +196,7 @@
         if !within_rate {
             return Reply::error(429, "too many requests");
         }
-        let reply = self.pass_on(&call);
+        let reply = self.pass_on(&call, seen_at);
         let lost = lock(&self.faults).take_lost(&label);
         match lost {
             Some(true) => Reply::Silence,
@@ -195,10 +205,10 @@
         }
     }
 
-    fn pass_on(&self, call: &Call) -> Reply {
+    fn pass_on(&self, call: &Call, seen_at: &BTreeMap<String, SocketAddr>) -> Reply {
         let path: Vec<&str> = call.path.iter().map(String::as_str).collect();
         match (call.received.method.as_str(), path.as_slice()) {
-            ("GET", path) if path == INSTANCES => lock(&self.instances).list(),
+            ("GET", path) if path == INSTANCES => lock(&self.instances).list(seen_at),
             (_, ["apis", "laburnumvalve.dev", "v1", "namespaces", "default", rest @ ..]) => {
                 self.store.answer(call, rest)
             }
@@ -287,7 +297,7 @@
             if call.path.first().is_some_and(|first| first == "control") {
                 return self.control(&call);
             }
-            self.take(call).await
+            self.take(call, &BTreeMap::new()).await
         }
         .boxed()
     }
