Add the spread and storage of the configuration

Cause: operators' changes have to be in force on every instance within seconds and must never revert. Shards are stored under the hash of their content; one root names them and is replaced by conditional update only. Marks carry withdrawals and service orders ahead of the store. Not tested yet.

--- /dev/null
+++ b/src/config/handle.rs
@@ -0,0 +1,261 @@
+//! Handle to the configuration: what the administration API and the peer service call.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+
+use super::convert::{mark_to_message, marks_from_messages};
+use super::edit::{Accepted, ApplyError, Edit, Editor};
+use super::model::{Config, Key, KeyHash};
+use super::persist::Persister;
+use super::pull::{Pull, Pulls, run_pulls};
+use super::spread::{Audience, spread};
+use super::start::bootstrap;
+use super::state::State;
+use super::store::ConfigStore;
+use super::task::{ConfigTask, Offer, Offers, Source};
+use super::watcher::Watcher;
+use super::{InForce, Mark, MarkTarget, Marks};
+use crate::clock::Hlc;
+use crate::context::Context;
+use crate::event::{About, EventKind};
+use crate::names::{ClassName, KeyId, OrganisationName};
+use crate::peer::Member;
+use crate::peer::generated::v1;
+
+/// How long an operator waits for a mark to become durable.
+const DURABLE_WAIT: Duration = Duration::from_secs(3);
+/// Withdrawn keys in marks above which they are taken into the configuration.
+const FOLD_ABOVE: usize = 64;
+/// Bytes of shards in one answer to a peer.
+const REPLY_BYTES: usize = 6 << 20;
+/// Random bytes of a key.
+const KEY_BYTES: usize = 32;
+/// Random bytes of a key's public identifier.
+const KEY_ID_BYTES: usize = 8;
+
+/// Result of an urgent change, which is in force at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MarkOutcome {
+    /// Whether the platform holds it; if not, this instance keeps trying.
+    pub durable: bool,
+}
+
+/// A new key, which can't be shown again.
+#[derive(Debug, Clone)]
+pub struct Issued {
+    /// Public identifier.
+    pub id: KeyId,
+    /// The key itself.
+    pub key: String,
+    /// Version that knows the key.
+    pub version: u64,
+}
+
+/// Handle to the configuration tasks; clones reach the same tasks.
+#[derive(Clone)]
+pub struct ConfigHandle {
+    cx: Context,
+    state: watch::Receiver<State>,
+    stored: watch::Receiver<Arc<Marks>>,
+    offers: Offers,
+    pulls: Pulls,
+    editor: Editor,
+    wake_persister: mpsc::Sender<()>,
+}
+
+/// Starts the configuration tasks; `in_force` receives what this instance works with.
+pub fn start(cx: Context, in_force: watch::Sender<Arc<InForce>>) -> ConfigHandle {
+    let (state_tx, state) = watch::channel(State::default());
+    let (stored_tx, stored) = watch::channel(Arc::new(Marks::default()));
+    let (offers, offers_rx) = Offers::channel();
+    let (pulls, pulls_rx) = Pulls::channel();
+    let (wake_persister, wake_rx) = mpsc::channel(1);
+    let store = ConfigStore::new(cx.objects.clone(), cx.metrics.clone());
+    let watcher = Watcher {
+        cx: cx.clone(),
+        store: store.clone(),
+        state: state.clone(),
+        offers: offers.clone(),
+        stored: stored_tx.clone(),
+    };
+    let pull = Pull { cx: cx.clone(), state: state.clone(), offers: offers.clone() };
+    let persister = Persister::new(cx.clone(), store.clone(), state.clone(), stored_tx, wake_rx);
+    tokio::spawn(ConfigTask::new(cx.clone(), state_tx, in_force, offers_rx).run());
+    tokio::spawn(run_pulls(pull.clone(), pulls_rx));
+    tokio::spawn(persister.run());
+    tokio::spawn(bootstrap(watcher, pull));
+    let editor = Editor::new(store, cx.clock.clone(), state.clone());
+    ConfigHandle { cx, state, stored, offers, pulls, editor, wake_persister }
+}
+
+impl ConfigHandle {
+    /// Returns the state in force.
+    pub fn state(&self) -> State {
+        self.state.borrow().clone()
+    }
+
+    /// Accepts the sheet part of a configuration; returns when the version is durable.
+    ///
+    /// `based_on` is the version that the operator worked from.
+    ///
+    /// # Errors
+    /// Says whether the configuration certainly was not accepted.
+    pub async fn apply(&self, config: Config, based_on: u64) -> Result<Accepted, ApplyError> {
+        self.edit(Edit::Sheet { config: Box::new(config), based_on }).await
+    }
+
+    /// Issues a key for an organisation.
+    ///
+    /// # Errors
+    /// If a name is unknown or the platform can't be reached.
+    pub async fn issue_key(
+        &self,
+        organisation: OrganisationName,
+        default_class: Option<ClassName>,
+        allowed_classes: Vec<ClassName>,
+    ) -> Result<Issued, ApplyError> {
+        let key = format!("lv-{}", hex::encode(rand::random::<[u8; KEY_BYTES]>()));
+        let id = KeyId::from(format!("key-{}", hex::encode(rand::random::<[u8; KEY_ID_BYTES]>())));
+        let record = Key {
+            id: id.clone(),
+            organisation: organisation.clone(),
+            default_class,
+            allowed_classes: allowed_classes.into_iter().collect(),
+            withdrawn: false,
+        };
+        let accepted = self.edit(Edit::AddKey(KeyHash::of(&key), record)).await?;
+        let about = About { organisation: Some(organisation), ..About::default() };
+        self.cx.recorder.record_about(EventKind::Key, about, format!("key {id} issued"));
+        Ok(Issued { id, key, version: accepted.version })
+    }
+
+    /// Withdraws a key; none if no key has this identifier.
+    pub async fn withdraw(&self, id: &KeyId) -> Option<MarkOutcome> {
+        let config = self.state.borrow().in_force().config;
+        let hash = config.keys.iter().find(|(_, key)| key.id == *id)?.0.clone();
+        Some(self.mark(Mark::KeyWithdrawn(hash)).await)
+    }
+
+    /// Takes a data centre or backend server out of service, or in again.
+    ///
+    /// The order is stamped later than all that this instance knows about the target.
+    pub async fn set_service(&self, target: MarkTarget, in_service: bool) -> MarkOutcome {
+        let latest = {
+            let state = self.state.borrow();
+            let as_of = state.root().map_or(Hlc::default(), |root| root.service_as_of);
+            as_of.max(state.marks().latest_service().unwrap_or_default())
+        };
+        let at = self.cx.clock.now().max(Hlc(latest.0 + 1));
+        self.mark(Mark::Service { target, at, in_service }).await
+    }
+
+    /// Puts a mark in force here and at all peers, and stores it.
+    pub async fn mark(&self, mark: Mark) -> MarkOutcome {
+        self.offers.send_marks(vec![mark.clone()], Source::Operator).await;
+        // A full channel means that the persister is about to look anyway.
+        let _ = self.wake_persister.try_send(());
+        let durable = tokio::time::timeout(DURABLE_WAIT, self.until_durable(&mark)).await.is_ok();
+        if durable && self.state.borrow().marks().withdrawn_count() > FOLD_ABOVE {
+            let handle = self.clone();
+            tokio::spawn(async move { handle.edit(Edit::Fold).await });
+        }
+        MarkOutcome { durable }
+    }
+
+    /// Answers a peer that wants the configuration.
+    pub fn fetch(&self, req: v1::FetchConfigRequest) -> v1::FetchConfigReply {
+        let state = self.state();
+        let marks = state.marks().iter().map(|mark| mark_to_message(&mark)).collect();
+        let newer = state.root().filter(|root| root.version > req.known_version);
+        let root = newer.and_then(|root| serde_json::to_vec(root.as_ref()).ok());
+        let shards = match &root {
+            Some(_) => shards_for(&state, &req.known_shards),
+            None => Vec::new(),
+        };
+        let root = root.unwrap_or_default();
+        v1::FetchConfigReply { root, shards, marks, members: Vec::new(), members_revision: 0 }
+    }
+
+    /// Takes news from a peer.
+    pub async fn receive(&self, req: v1::SpreadRequest) -> v1::SpreadReply {
+        self.cx.clock.observe(Hlc(req.hlc));
+        let marks = marks_from_messages(req.marks);
+        if !marks.is_empty() {
+            self.offers.send_marks(marks, Source::Peer).await;
+        }
+        let state = self.state();
+        if req.config_version > state.version() {
+            let members = self.cx.members.borrow();
+            if let Some(member) = members.listed.get(req.instance.as_str()) {
+                self.pulls.ask(&member.peer_address);
+            }
+        }
+        v1::SpreadReply { config_version: state.version(), marks_digest: state.digest() }
+    }
+
+    /// Compares what a peer said in a beat; pulls from it if it may know more.
+    pub fn heard(&self, member: &Member, config_version: u64, marks_digest: u64) {
+        let (version, digest) = {
+            let state = self.state.borrow();
+            (state.version(), state.digest())
+        };
+        if config_version > version || marks_digest != digest {
+            self.pulls.ask(&member.peer_address);
+        }
+    }
+
+    /// Tells the peers of the own data centre which version is in force here.
+    pub fn announce(&self) {
+        let version = self.state.borrow().version();
+        tokio::spawn(spread(self.cx.clone(), version, Vec::new(), Audience::OwnDataCentre));
+    }
+
+    /// Runs an edit to its end even if the caller goes away, and puts the result in force.
+    async fn edit(&self, edit: Edit) -> Result<Accepted, ApplyError> {
+        let editor = self.editor.clone();
+        let offers = self.offers.clone();
+        let work = tokio::spawn(async move {
+            let outcome = editor.run(&edit).await?;
+            let offer = Offer {
+                root: outcome.root,
+                shards: outcome.shards,
+                marks: Vec::new(),
+                source: Source::Operator,
+            };
+            offers.send(offer).await;
+            Ok(outcome.accepted)
+        });
+        work.await.unwrap_or_else(|error| Err(ApplyError::Unknown(error.to_string())))
+    }
+
+    async fn until_durable(&self, mark: &Mark) {
+        let mut stored = self.stored.clone();
+        let mut state = self.state.clone();
+        loop {
+            let contained = state.borrow_and_update().contains(mark);
+            if contained || stored.borrow_and_update().covers(mark) {
+                return;
+            }
+            tokio::select! {
+                Ok(()) = stored.changed() => {}
+                Ok(()) = state.changed() => {}
+                else => std::future::pending().await,
+            }
+        }
+    }
+}
+
+/// Returns the shards that a peer lacks, up to the bound of one answer.
+fn shards_for(state: &State, known: &[String]) -> Vec<v1::Shard> {
+    let known: std::collections::HashSet<&str> = known.iter().map(String::as_str).collect();
+    let mut left = REPLY_BYTES;
+    let mut shards = Vec::new();
+    for shard in state.shards().values().filter(|shard| !known.contains(shard.hash())) {
+        let Some(rest) = left.checked_sub(shard.body().len()) else { break };
+        left = rest;
+        shards.push(v1::Shard { hash: shard.hash().to_owned(), body: shard.body().into() });
+    }
+    shards
+}
--- a/src/config/marks.rs
+++ b/src/config/marks.rs
@@ -23,6 +23,15 @@
     BackendServer(BackendServerName),
 }
 
+impl std::fmt::Display for MarkTarget {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::DataCentre(name) => write!(f, "data centre {name}"),
+            Self::BackendServer(name) => write!(f, "backend server {name}"),
+        }
+    }
+}
+
 value! {
     /// One urgent change.
     pub enum Mark {
@@ -78,6 +87,27 @@
         withdrawn.chain(service)
     }
 
+    /// Returns whether merging a mark would change nothing.
+    pub fn covers(&self, mark: &Mark) -> bool {
+        match mark {
+            Mark::KeyWithdrawn(hash) => self.withdrawn.contains(hash),
+            Mark::Service { target, at, in_service } => self
+                .service
+                .get(target)
+                .is_some_and(|(known, known_in)| (*at, !*in_service) <= (*known, !*known_in)),
+        }
+    }
+
+    /// Returns the greatest timestamp of the marks of service.
+    pub fn latest_service(&self) -> Option<Hlc> {
+        self.service.values().map(|(at, _)| *at).max()
+    }
+
+    /// Returns how many keys are withdrawn by marks.
+    pub fn withdrawn_count(&self) -> usize {
+        self.withdrawn.len()
+    }
+
     /// Returns whether a key is withdrawn by a mark.
     pub fn is_withdrawn(&self, hash: &KeyHash) -> bool {
         self.withdrawn.contains(hash)
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,8 +1,23 @@
 //! The configuration that operators accept, and the marks that change it at once.
 
+pub mod convert;
+pub mod edit;
+pub mod handle;
 pub mod marks;
 pub mod model;
+pub mod persist;
+pub mod pull;
+pub mod root;
+pub mod shard;
+pub mod spread;
+pub mod start;
+pub mod state;
+pub mod store;
+pub mod task;
+pub mod watcher;
 
+pub use edit::{Accepted, ApplyError};
+pub use handle::{ConfigHandle, Issued, MarkOutcome, start};
 pub use marks::{Mark, MarkTarget, Marks};
 pub use model::{
     Access, BackendServer, Class, Config, DataCentre, Key, KeyHash, Organisation, Repeatability,
@@ -41,6 +56,23 @@
         centre_in && self.marks.is_in(&target, server.in_service)
     }
 
+    /// Returns the configuration with the marks taken into its records.
+    pub fn effective(&self) -> Config {
+        let mut config = Config::clone(&self.config);
+        for centre in config.data_centres.values_mut() {
+            let target = MarkTarget::DataCentre(centre.name.clone());
+            centre.in_service = self.marks.is_in(&target, centre.in_service);
+        }
+        for server in config.backend_servers.values_mut() {
+            let target = MarkTarget::BackendServer(server.name.clone());
+            server.in_service = self.marks.is_in(&target, server.in_service);
+        }
+        for (hash, key) in &mut config.keys {
+            key.withdrawn |= self.marks.is_withdrawn(hash);
+        }
+        config
+    }
+
     /// Returns whether an organisation may use a route.
     pub fn may_use(&self, organisation: &Organisation, route: &Route) -> bool {
         match &route.access {
--- /dev/null
+++ b/src/config/persist.rs
@@ -0,0 +1,100 @@
+//! Writes marks to the platform until they are durable, also after an outage.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{mpsc, watch};
+
+use super::Marks;
+use super::spread::is_watcher;
+use super::state::State;
+use super::store::ConfigStore;
+use crate::context::Context;
+use crate::event::EventKind;
+use crate::platform::PlatformError;
+
+/// Period of retries for marks that were given to this instance.
+const RETRY_PERIOD: Duration = Duration::from_millis(400);
+/// Period at which a watcher looks for marks that nobody stored.
+const RESCUE_PERIOD: Duration = Duration::from_secs(2);
+/// Immediate attempts against concurrent writers.
+const CONFLICT_ATTEMPTS: usize = 8;
+
+/// The task that stores marks.
+pub struct Persister {
+    cx: Context,
+    store: ConfigStore,
+    state: watch::Receiver<State>,
+    stored: watch::Sender<Arc<Marks>>,
+    wake: mpsc::Receiver<()>,
+}
+
+impl Persister {
+    /// Makes the task; `stored` tells what is durable, `wake` says that there is a new mark.
+    pub fn new(
+        cx: Context,
+        store: ConfigStore,
+        state: watch::Receiver<State>,
+        stored: watch::Sender<Arc<Marks>>,
+        wake: mpsc::Receiver<()>,
+    ) -> Self {
+        Self { cx, store, state, stored, wake }
+    }
+
+    /// Stores marks until all handles are gone.
+    pub async fn run(mut self) {
+        let mut retries = self.cx.timer.every(RETRY_PERIOD);
+        let mut rescues = self.cx.timer.every(RESCUE_PERIOD);
+        let mut pending = false;
+        loop {
+            let due = tokio::select! {
+                woken = self.wake.recv() => match woken {
+                    Some(()) => true,
+                    None => return,
+                },
+                Some(_) = retries.recv() => pending,
+                Some(_) = rescues.recv() => is_watcher(&self.cx) && !self.all_stored(),
+            };
+            if due {
+                let saved = self.save().await;
+                self.record_change(pending, !saved);
+                pending = !saved;
+            }
+        }
+    }
+
+    fn all_stored(&self) -> bool {
+        let marks = self.state.borrow().marks().clone();
+        let stored = self.stored.borrow();
+        marks.iter().all(|mark| stored.covers(&mark))
+    }
+
+    /// Tries to store all marks; returns whether they are durable.
+    async fn save(&self) -> bool {
+        for _ in 0..CONFLICT_ATTEMPTS {
+            let state = self.state.borrow().clone();
+            let merged = self.store.merge_marks(state.marks(), |mark| state.contains(mark)).await;
+            match merged {
+                Ok(stored) => {
+                    self.stored.send_replace(stored);
+                    return self.all_stored();
+                }
+                Err(PlatformError::Conflict) => tokio::task::yield_now().await,
+                Err(error) => {
+                    tracing::debug!(%error, "marks are not durable yet");
+                    return false;
+                }
+            }
+        }
+        false
+    }
+
+    fn record_change(&self, pending_before: bool, pending_now: bool) {
+        let detail = match (pending_before, pending_now) {
+            (false, true) => "marks can't be stored at present; trying again",
+            (true, false) => "marks are durable again",
+            _ => return,
+        };
+        self.cx.recorder.record(EventKind::Platform, detail);
+    }
+}
--- /dev/null
+++ b/src/config/root.rs
@@ -0,0 +1,158 @@
+//! The root: the one object that says which configuration version is accepted.
+//!
+//! It is replaced by conditional update only, so that accepted versions form one sequence.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::shard::{Shard, hash_of};
+use crate::clock::Hlc;
+
+/// Accepted edits whose identifiers a root remembers, to decide after a lost answer.
+const REMEMBERED_EDITS: usize = 64;
+/// Unused shards that one edit deletes at most.
+const MAX_DELETIONS: usize = 32;
+/// Time in milliseconds that a shard which no root names any more stays readable.
+pub const SHARD_GRACE_MS: u64 = 600_000;
+
+value! {
+    /// An edit that was accepted.
+    pub struct AcceptedEdit {
+        /// Random identifier of the edit.
+        pub id: String,
+        /// Version that it made.
+        pub version: u64,
+    }
+
+    /// A shard that the root names no more.
+    pub struct RetiredShard {
+        /// Hash of the shard.
+        pub hash: String,
+        /// When the root stopped naming it, in milliseconds since 1970.
+        pub at_ms: u64,
+    }
+
+    /// One accepted version of the configuration.
+    pub struct Root {
+        /// The version; each accepted edit adds one.
+        pub version: u64,
+        /// Version in which the sheet's content changed last.
+        pub sheet_version: u64,
+        /// Hash over this version and all before it; tells two histories apart.
+        pub history: String,
+        /// Marks of service up to this time are overruled by the records of this version.
+        pub service_as_of: Hlc,
+        /// Hashes of the shards by name.
+        pub shards: BTreeMap<String, String>,
+        /// The latest accepted edits, oldest first.
+        pub recent: Vec<AcceptedEdit>,
+        /// Shards of earlier versions that still exist.
+        pub retired: Vec<RetiredShard>,
+    }
+}
+
+/// What an edit puts in the next root.
+#[derive(Debug, Clone)]
+pub struct NextRoot<'a> {
+    /// Identifier of the edit.
+    pub edit: &'a str,
+    /// Shards of the new version by name.
+    pub shards: &'a BTreeMap<String, Shard>,
+    /// Whether the sheet's content changes.
+    pub sheet_changed: bool,
+    /// Time up to which marks of service are overruled.
+    pub service_as_of: Hlc,
+    /// Retired shards that are deleted once this root is accepted.
+    pub deleted: &'a [String],
+    /// Wall-clock time in milliseconds since 1970.
+    pub now_ms: u64,
+}
+
+impl Root {
+    /// Returns the version that an edit made, if it is among the latest.
+    pub fn version_of_edit(&self, id: &str) -> Option<u64> {
+        self.recent.iter().find(|edit| edit.id == id).map(|edit| edit.version)
+    }
+
+    /// Returns the hashes of the shards that this version consists of.
+    pub fn hashes(&self) -> BTreeSet<&str> {
+        self.shards.values().map(String::as_str).collect()
+    }
+
+    /// Makes the root that follows `previous`.
+    pub fn next(previous: Option<&Self>, next: &NextRoot<'_>) -> Self {
+        let version = previous.map_or(0, |root| root.version) + 1;
+        let shards: BTreeMap<String, String> = next
+            .shards
+            .iter()
+            .map(|(name, shard)| (name.clone(), shard.hash().to_owned()))
+            .collect();
+        let sheet_version = match previous {
+            Some(root) if !next.sheet_changed => root.sheet_version,
+            _ => version,
+        };
+        Self {
+            version,
+            sheet_version,
+            history: history_of(previous, next, &shards),
+            service_as_of: next.service_as_of,
+            recent: recent_edits(previous, next.edit, version),
+            retired: retired_shards(previous, &shards, next),
+            shards,
+        }
+    }
+
+    /// Returns some shards that no root named for a while and `shards` doesn't name again.
+    pub fn deletable(&self, shards: &BTreeMap<String, Shard>, now_ms: u64) -> Vec<String> {
+        let live: BTreeSet<&str> = shards.values().map(Shard::hash).collect();
+        self.retired
+            .iter()
+            .filter(|shard| now_ms.saturating_sub(shard.at_ms) > SHARD_GRACE_MS)
+            .filter(|shard| !live.contains(shard.hash.as_str()))
+            .map(|shard| shard.hash.clone())
+            .take(MAX_DELETIONS)
+            .collect()
+    }
+}
+
+fn history_of(
+    previous: Option<&Root>,
+    next: &NextRoot<'_>,
+    shards: &BTreeMap<String, String>,
+) -> String {
+    let mut text = previous.map(|root| root.history.clone()).unwrap_or_default();
+    text.push_str(next.edit);
+    text.push_str(&next.service_as_of.0.to_string());
+    for (name, hash) in shards {
+        text.push_str(name);
+        text.push_str(hash);
+    }
+    hash_of(text.as_bytes())
+}
+
+fn recent_edits(previous: Option<&Root>, id: &str, version: u64) -> Vec<AcceptedEdit> {
+    let mut recent = previous.map(|root| root.recent.clone()).unwrap_or_default();
+    recent.push(AcceptedEdit { id: id.to_owned(), version });
+    let excess = recent.len().saturating_sub(REMEMBERED_EDITS);
+    recent.drain(..excess);
+    recent
+}
+
+fn retired_shards(
+    previous: Option<&Root>,
+    shards: &BTreeMap<String, String>,
+    next: &NextRoot<'_>,
+) -> Vec<RetiredShard> {
+    let Some(previous) = previous else { return Vec::new() };
+    let live: BTreeSet<&str> = shards.values().map(String::as_str).collect();
+    let still_retired = previous
+        .retired
+        .iter()
+        .filter(|shard| !live.contains(shard.hash.as_str()) && !next.deleted.contains(&shard.hash))
+        .cloned();
+    let newly_retired = previous
+        .hashes()
+        .into_iter()
+        .filter(|hash| !live.contains(hash))
+        .map(|hash| RetiredShard { hash: hash.to_owned(), at_ms: next.now_ms });
+    still_retired.chain(newly_retired).collect()
+}
--- /dev/null
+++ b/src/config/shard.rs
@@ -0,0 +1,161 @@
+//! Shards: parts of the configuration, each stored once under the hash of its content.
+//!
+//! A change rewrites only the shards that it touches. The root names the shards of a version.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use sha2::{Digest, Sha256};
+
+use super::model::{BackendServer, Class, Config, DataCentre, Key, KeyHash, Organisation, Route};
+use crate::names::{BackendServerName, ClassName, DataCentreName, OrganisationName, RouteName};
+
+/// Buckets that organisations, and keys, are spread over by a hash of their name.
+const BUCKETS: u8 = 64;
+/// Buckets that the backend servers of one data centre are spread over.
+const SERVER_BUCKETS: u8 = 8;
+/// Largest shard in bytes, as it is encoded in an object; the platform holds a megabyte.
+pub const MAX_SHARD_BYTES: usize = 960_000;
+
+/// The records of one shard.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+struct Part {
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    organisations: BTreeMap<OrganisationName, Organisation>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    classes: BTreeMap<ClassName, Class>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    routes: BTreeMap<RouteName, Route>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    data_centres: BTreeMap<DataCentreName, DataCentre>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    backend_servers: BTreeMap<BackendServerName, BackendServer>,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    keys: BTreeMap<KeyHash, Key>,
+}
+
+/// A shard whose content was checked against its hash.
+#[derive(Debug, Clone)]
+pub struct Shard {
+    hash: String,
+    body: Arc<str>,
+    part: Arc<Part>,
+}
+
+/// Shards by hash.
+pub type Shards = BTreeMap<String, Shard>;
+
+/// Why a shard can't be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ShardError {
+    /// The body has another hash.
+    WrongHash,
+    /// The body can't be understood.
+    Malformed(String),
+}
+
+impl std::fmt::Display for ShardError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::WrongHash => f.write_str("the shard has another hash than its name says"),
+            Self::Malformed(why) => write!(f, "the shard is malformed: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for ShardError {}
+
+impl Shard {
+    /// Checks and parses a shard that was read from the platform or a peer.
+    ///
+    /// # Errors
+    /// If the body does not have the hash, or can't be understood.
+    pub fn open(hash: &str, body: &str) -> Result<Self, ShardError> {
+        if hash_of(body.as_bytes()) != hash {
+            return Err(ShardError::WrongHash);
+        }
+        let part =
+            serde_json::from_str(body).map_err(|error| ShardError::Malformed(error.to_string()))?;
+        Ok(Self { hash: hash.to_owned(), body: body.into(), part: Arc::new(part) })
+    }
+
+    fn of(part: Part) -> Result<Self, ShardError> {
+        let body = serde_json::to_string(&part)
+            .map_err(|error| ShardError::Malformed(error.to_string()))?;
+        Ok(Self { hash: hash_of(body.as_bytes()), body: body.into(), part: Arc::new(part) })
+    }
+
+    /// Returns the hash of the body.
+    pub fn hash(&self) -> &str {
+        &self.hash
+    }
+
+    /// Returns the body as stored and sent.
+    pub fn body(&self) -> &str {
+        &self.body
+    }
+
+    /// Returns how many bytes the body takes as a string within a JSON object.
+    pub fn encoded_len(&self) -> usize {
+        let escaped = self.body.bytes().filter(|byte| matches!(byte, b'"' | b'\\')).count();
+        self.body.len() + escaped
+    }
+}
+
+/// Splits a configuration into named shards; the result depends on its records alone.
+///
+/// # Errors
+/// If a record can't be serialized.
+pub fn split(config: &Config) -> Result<BTreeMap<String, Shard>, ShardError> {
+    let mut parts: BTreeMap<String, Part> = BTreeMap::new();
+    for (name, organisation) in &config.organisations {
+        let part = parts.entry(bucket_name("organisations", name.as_str())).or_default();
+        part.organisations.insert(name.clone(), organisation.clone());
+    }
+    for (hash, key) in &config.keys {
+        let part = parts.entry(bucket_name("keys", &hash.0)).or_default();
+        part.keys.insert(hash.clone(), key.clone());
+    }
+    for (name, server) in &config.backend_servers {
+        let bucket = bucket(name.as_str(), SERVER_BUCKETS);
+        let part_name = format!("backend-servers-{}-{bucket}", server.data_centre);
+        let part = parts.entry(part_name).or_default();
+        part.backend_servers.insert(name.clone(), server.clone());
+    }
+    for (name, route) in &config.routes {
+        let part = parts.entry(format!("route-{name}")).or_default();
+        part.routes.insert(name.clone(), route.clone());
+    }
+    let base = parts.entry("base".to_owned()).or_default();
+    base.classes = config.classes.clone();
+    base.data_centres = config.data_centres.clone();
+    parts.into_iter().map(|(name, part)| Ok((name, Shard::of(part)?))).collect()
+}
+
+/// Joins shards into one configuration of the given version.
+pub fn join<'a>(version: u64, shards: impl Iterator<Item = &'a Shard>) -> Config {
+    let mut config = Config { version, ..Config::default() };
+    for shard in shards {
+        let part = Part::clone(&shard.part);
+        config.organisations.extend(part.organisations);
+        config.classes.extend(part.classes);
+        config.routes.extend(part.routes);
+        config.data_centres.extend(part.data_centres);
+        config.backend_servers.extend(part.backend_servers);
+        config.keys.extend(part.keys);
+    }
+    config
+}
+
+/// Returns the SHA-256 of bytes in lower-case hexadecimal.
+pub fn hash_of(bytes: &[u8]) -> String {
+    hex::encode(Sha256::digest(bytes))
+}
+
+fn bucket(name: &str, buckets: u8) -> u8 {
+    Sha256::digest(name.as_bytes())[0] % buckets
+}
+
+fn bucket_name(kind: &str, name: &str) -> String {
+    format!("{kind}-{:02}", bucket(name, BUCKETS))
+}
--- /dev/null
+++ b/src/config/start.rs
@@ -0,0 +1,61 @@
+//! The first configuration of an instance: from peers, which is fast, then from the platform.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+
+use super::pull::Pull;
+use super::watcher::Watcher;
+use crate::context::Context;
+use crate::names::InstanceName;
+
+/// Peers asked at the start, beside the seeds.
+const START_PEERS: usize = 4;
+/// Delay before the platform and peers are asked again.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Loads the first configuration, then watches the platform.
+pub async fn bootstrap(watcher: Watcher, pull: Pull) {
+    loop {
+        ask_peers(&pull).await;
+        match watcher.load().await {
+            Ok(_) => break,
+            Err(error) if watcher.state.borrow().version() > 0 => {
+                tracing::warn!(%error, "the configuration came from peers only");
+                break;
+            }
+            Err(error) => tracing::warn!(%error, "no configuration yet"),
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
+    }
+    tokio::join!(watcher.clone().watch_root(), watcher.watch_marks());
+}
+
+/// Asks some peers for what they know; an older copy from one does not displace a newer one.
+async fn ask_peers(pull: &Pull) {
+    let addresses = peer_addresses(&pull.cx);
+    futures::stream::iter(addresses)
+        .for_each_concurrent(None, async |address| {
+            if let Err(status) = pull.run(&address).await {
+                tracing::debug!(address, %status, "a peer gave no configuration");
+            }
+        })
+        .await;
+}
+
+fn peer_addresses(cx: &Context) -> Vec<String> {
+    let own = cx.options.peer_listen;
+    let seeds = cx.options.seeds.iter().filter(|seed| **seed != own).map(ToString::to_string);
+    let members = cx.members.borrow();
+    let is_other = |name: &InstanceName| *name != cx.options.instance;
+    let listed = members
+        .listed
+        .values()
+        .filter(|member| is_other(&member.name) && members.is_usable(member))
+        .take(START_PEERS)
+        .map(|member| member.peer_address.clone());
+    let mut addresses: Vec<String> = seeds.chain(listed).collect();
+    addresses.sort();
+    addresses.dedup();
+    addresses
+}
--- /dev/null
+++ b/src/config/state.rs
@@ -0,0 +1,159 @@
+//! The configuration state of one instance, without input or output.
+//!
+//! A newer root replaces an older one and never the other way round; marks only grow, and a mark
+//! is dropped only when the root in force says the same.
+
+use std::sync::Arc;
+
+use super::model::{Config, KeyHash};
+use super::root::Root;
+use super::shard::{Shards, join};
+use super::{InForce, Mark, Marks};
+
+/// What an instance holds; clones share the data.
+#[derive(Debug, Clone)]
+pub struct State {
+    root: Option<Arc<Root>>,
+    shards: Arc<Shards>,
+    config: Arc<Config>,
+    marks: Arc<Marks>,
+    digest: u64,
+}
+
+/// What became of a root that was offered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Adoption {
+    /// It is in force now.
+    Adopted,
+    /// It was in force already.
+    Known,
+    /// It is older than the one in force and was ignored.
+    Older,
+    /// It has the version in force but another history, and was ignored.
+    Diverged,
+    /// These shards are missing; nothing changed.
+    Incomplete(Vec<String>),
+}
+
+impl Default for State {
+    fn default() -> Self {
+        let mut state = Self {
+            root: None,
+            shards: Arc::default(),
+            config: Arc::default(),
+            marks: Arc::default(),
+            digest: 0,
+        };
+        state.set_marks(Marks::default());
+        state
+    }
+}
+
+impl State {
+    /// Returns the version in force; 0 if there is none.
+    pub fn version(&self) -> u64 {
+        self.root.as_ref().map_or(0, |root| root.version)
+    }
+
+    /// Returns the root in force.
+    pub fn root(&self) -> Option<&Arc<Root>> {
+        self.root.as_ref()
+    }
+
+    /// Returns the shards of the root in force.
+    pub fn shards(&self) -> &Arc<Shards> {
+        &self.shards
+    }
+
+    /// Returns the marks that the root in force does not contain.
+    pub fn marks(&self) -> &Arc<Marks> {
+        &self.marks
+    }
+
+    /// Returns the digest of the marks.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns what the other parts of the instance work with.
+    pub fn in_force(&self) -> InForce {
+        InForce { config: self.config.clone(), marks: self.marks.clone() }
+    }
+
+    /// Puts a root in force if it is newer and complete.
+    pub fn adopt(&mut self, root: Arc<Root>, offered: &Shards) -> Adoption {
+        if let Some(own) = &self.root {
+            if root.version == own.version {
+                let same = root.history == own.history;
+                return if same { Adoption::Known } else { Adoption::Diverged };
+            }
+            if root.version < own.version {
+                return Adoption::Older;
+            }
+        }
+        let missing = missing_shards(&root, &[&self.shards, offered]);
+        if !missing.is_empty() {
+            return Adoption::Incomplete(missing);
+        }
+        let shards: Shards = root
+            .shards
+            .values()
+            .filter_map(|hash| {
+                let shard = offered.get(hash).or_else(|| self.shards.get(hash))?;
+                Some((hash.clone(), shard.clone()))
+            })
+            .collect();
+        self.config = Arc::new(join(root.version, shards.values()));
+        self.shards = Arc::new(shards);
+        self.root = Some(root);
+        self.drop_contained_marks();
+        Adoption::Adopted
+    }
+
+    /// Merges marks; returns whether any of them is new and not in the root already.
+    pub fn merge(&mut self, marks: &[Mark]) -> bool {
+        let mut merged = Marks::clone(&self.marks);
+        let mut changed = false;
+        for mark in marks.iter().filter(|mark| !self.contains(mark)) {
+            changed |= merged.merge(mark.clone());
+        }
+        if changed {
+            self.set_marks(merged);
+        }
+        changed
+    }
+
+    /// Returns whether the root in force makes a mark needless.
+    pub fn contains(&self, mark: &Mark) -> bool {
+        match mark {
+            Mark::KeyWithdrawn(hash) => self.key_is_withdrawn(hash),
+            Mark::Service { at, .. } => {
+                self.root.as_ref().is_some_and(|root| *at <= root.service_as_of)
+            }
+        }
+    }
+
+    fn key_is_withdrawn(&self, hash: &KeyHash) -> bool {
+        self.config.keys.get(hash).is_some_and(|key| key.withdrawn)
+    }
+
+    fn drop_contained_marks(&mut self) {
+        let mut marks = Marks::clone(&self.marks);
+        marks.retain(|mark| !self.contains(mark));
+        self.set_marks(marks);
+    }
+
+    fn set_marks(&mut self, marks: Marks) {
+        self.digest = marks.digest();
+        self.marks = Arc::new(marks);
+    }
+}
+
+/// Returns the hashes that a root names and none of the collections holds.
+pub fn missing_shards(root: &Root, held: &[&Shards]) -> Vec<String> {
+    root.hashes()
+        .into_iter()
+        .filter(|hash| !held.iter().any(|shards| shards.contains_key(*hash)))
+        .map(ToOwned::to_owned)
+        .collect()
+}
--- /dev/null
+++ b/src/config/store.rs
@@ -0,0 +1,224 @@
+//! The configuration in the platform's object API: the root, the shards and the marks.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+
+use super::root::Root;
+use super::shard::{Shard, Shards};
+use super::{Mark, Marks};
+use crate::metrics::{Counter, Metrics};
+use crate::platform::objects::{Change, Object, Objects, PlatformError, StoreKind};
+
+/// Name of the root object.
+pub const ROOT: &str = "root";
+/// Name of the object that holds the marks.
+pub const MARKS: &str = "marks";
+/// Shards that are read or written at once.
+const PARALLEL_CALLS: usize = 16;
+/// Attempts to write one shard against concurrent writers of the same content.
+const SHARD_ATTEMPTS: usize = 4;
+
+/// A shard as stored.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+struct StoredShard {
+    body: String,
+}
+
+/// Reads and writes the configuration; clones share the connections.
+#[derive(Clone)]
+pub struct ConfigStore {
+    objects: Objects,
+    metrics: Metrics,
+}
+
+impl ConfigStore {
+    /// Makes a store that works through the given client.
+    pub fn new(objects: Objects, metrics: Metrics) -> Self {
+        Self { objects, metrics }
+    }
+
+    /// Reads the root; none if no configuration was ever accepted.
+    ///
+    /// # Errors
+    /// If the call failed.
+    pub async fn read_root(&self) -> Result<Option<Object<Root>>, PlatformError> {
+        self.count("root-read");
+        optional(self.objects.get(StoreKind::Configs, ROOT).await)
+    }
+
+    /// Replaces the root that has the version `base`, or creates the first one.
+    ///
+    /// # Errors
+    /// [`PlatformError::Conflict`] if the root was replaced in the meantime; others if the call
+    /// failed.
+    pub async fn write_root(&self, base: Option<&str>, root: &Root) -> Result<(), PlatformError> {
+        self.count("root-write");
+        match base {
+            Some(version) => self.objects.update(StoreKind::Configs, ROOT, version, root).await,
+            None => self.objects.create(StoreKind::Configs, ROOT, root).await,
+        }
+        .map(drop)
+    }
+
+    /// Reads shards by hash.
+    ///
+    /// # Errors
+    /// If a call failed or a shard is damaged.
+    pub async fn read_shards(&self, hashes: Vec<String>) -> Result<Shards, PlatformError> {
+        let mut reads = futures::stream::iter(hashes.into_iter().map(|hash| self.read_shard(hash)))
+            .buffer_unordered(PARALLEL_CALLS);
+        let mut shards = Shards::new();
+        while let Some(shard) = reads.next().await {
+            let shard = shard?;
+            shards.insert(shard.hash().to_owned(), shard);
+        }
+        Ok(shards)
+    }
+
+    async fn read_shard(&self, hash: String) -> Result<Shard, PlatformError> {
+        self.count("shard-read");
+        let name = shard_name(&hash);
+        let object: Object<StoredShard> = self.objects.get(StoreKind::Configs, &name).await?;
+        Shard::open(&hash, &object.spec.body)
+            .map_err(|error| PlatformError::Malformed(error.to_string()))
+    }
+
+    /// Writes shards; those that exist already are written again, so that a concurrent deletion
+    /// of the old object fails.
+    ///
+    /// # Errors
+    /// If a call failed; some shards may be stored then, which does no harm.
+    pub async fn write_shards(&self, shards: Vec<Shard>) -> Result<(), PlatformError> {
+        let mut writes =
+            futures::stream::iter(shards.into_iter().map(|shard| self.write_shard(shard)))
+                .buffer_unordered(PARALLEL_CALLS);
+        while let Some(written) = writes.next().await {
+            written?;
+        }
+        Ok(())
+    }
+
+    async fn write_shard(&self, shard: Shard) -> Result<(), PlatformError> {
+        let name = shard_name(shard.hash());
+        let stored = StoredShard { body: shard.body().to_owned() };
+        let mut failure = PlatformError::Conflict;
+        for _ in 0..SHARD_ATTEMPTS {
+            match self.create_or_rewrite(&name, &stored).await {
+                Ok(()) => return Ok(()),
+                Err(refused @ PlatformError::Refused(_)) => return Err(refused),
+                Err(error) => failure = error,
+            }
+        }
+        Err(failure)
+    }
+
+    async fn create_or_rewrite(
+        &self,
+        name: &str,
+        stored: &StoredShard,
+    ) -> Result<(), PlatformError> {
+        self.count("shard-write");
+        match self.objects.create(StoreKind::Configs, name, stored).await {
+            Err(PlatformError::Conflict) => {}
+            written => return written.map(drop),
+        }
+        self.count("shard-read");
+        let found: Object<StoredShard> = self.objects.get(StoreKind::Configs, name).await?;
+        self.count("shard-write");
+        self.objects.update(StoreKind::Configs, name, &found.version, stored).await.map(drop)
+    }
+
+    /// Reads the versions of shards that are about to be deleted; absent ones are left out.
+    pub async fn shard_versions(&self, hashes: &[String]) -> Vec<(String, String)> {
+        let mut found = Vec::new();
+        for hash in hashes {
+            self.count("shard-read");
+            let name = shard_name(hash);
+            let object: Result<Object<StoredShard>, PlatformError> =
+                self.objects.get(StoreKind::Configs, &name).await;
+            if let Ok(object) = object {
+                found.push((name, object.version));
+            }
+        }
+        found
+    }
+
+    /// Deletes objects that still have the given versions; a failure leaves an unused object.
+    pub async fn delete_shards(&self, versions: Vec<(String, String)>) {
+        for (name, version) in versions {
+            self.count("shard-delete");
+            if let Err(error) = self.objects.delete(StoreKind::Configs, &name, &version).await {
+                tracing::debug!(name, %error, "an unused shard was not deleted");
+            }
+        }
+    }
+
+    /// Reads the stored marks with the object's version.
+    ///
+    /// # Errors
+    /// If the call failed.
+    pub async fn read_marks(&self) -> Result<Option<Object<Marks>>, PlatformError> {
+        self.count("marks-read");
+        optional(self.objects.get(StoreKind::Marks, MARKS).await)
+    }
+
+    /// Merges marks into the stored ones by one conditional update; returns what is stored then.
+    ///
+    /// `is_contained` tells the marks that the root makes needless; they are left out.
+    ///
+    /// # Errors
+    /// If a call failed or another writer was faster; the caller tries again.
+    pub async fn merge_marks(
+        &self,
+        marks: &Marks,
+        is_contained: impl Fn(&Mark) -> bool,
+    ) -> Result<Arc<Marks>, PlatformError> {
+        let stored = self.read_marks().await?;
+        let mut merged = stored.as_ref().map(|object| object.spec.clone()).unwrap_or_default();
+        let changed = marks.iter().fold(false, |changed, mark| merged.merge(mark) | changed);
+        if !changed {
+            return Ok(Arc::new(merged));
+        }
+        merged.retain(|mark| !is_contained(mark));
+        self.count("marks-write");
+        match stored {
+            Some(object) => {
+                self.objects.update(StoreKind::Marks, MARKS, &object.version, &merged).await?
+            }
+            None => self.objects.create(StoreKind::Marks, MARKS, &merged).await?,
+        };
+        Ok(Arc::new(merged))
+    }
+
+    /// Waits for a change of one object after a version.
+    ///
+    /// # Errors
+    /// If the call failed, or the object must be read again.
+    pub async fn watch(
+        &self,
+        kind: StoreKind,
+        name: &str,
+        after: &str,
+        wait: std::time::Duration,
+    ) -> Result<Vec<Change>, PlatformError> {
+        self.count("watch");
+        self.objects.watch(kind, name, after, wait).await
+    }
+
+    fn count(&self, kind: &str) {
+        self.metrics.add(Counter::PlatformCalls, kind, 1);
+    }
+}
+
+fn shard_name(hash: &str) -> String {
+    format!("shard-{hash}")
+}
+
+fn optional<T>(read: Result<Object<T>, PlatformError>) -> Result<Option<Object<T>>, PlatformError> {
+    match read {
+        Ok(object) => Ok(Some(object)),
+        Err(PlatformError::NotFound) => Ok(None),
+        Err(error) => Err(error),
+    }
+}
