Add the entry: the straight path of chat requests

Callers need to reach model engines through an instance. A refusal says not_run only while no attempt has written a byte.

Work that may not be repeated and names an idempotency key is refused until claims exist.

--- /dev/null
+++ b/src/entry/dispatch.rs
@@ -0,0 +1,74 @@
+//! Whether bytes of a request may have reached a backend server, over all of its attempts.
+
+use super::auth::Denial;
+use crate::outcome::{ConnectFailed, Refusal, Sent, Unsent};
+
+/// State of a request between attempts.
+#[derive(Debug)]
+pub enum Dispatch {
+    /// No attempt has written a byte.
+    Unsent(Unsent),
+    /// An attempt may have written bytes.
+    Sent(Sent),
+}
+
+/// State of a request during an attempt.
+#[derive(Debug)]
+pub struct Dispatched {
+    sent: Sent,
+    /// Whether no earlier attempt wrote a byte.
+    first: bool,
+}
+
+impl Dispatch {
+    /// Starts the life of a request.
+    pub fn new() -> Self {
+        Self::Unsent(Unsent::new())
+    }
+
+    /// Begins an attempt; call it before the first byte is written.
+    pub fn send(self) -> Dispatched {
+        match self {
+            Self::Unsent(unsent) => Dispatched { sent: unsent.send(), first: true },
+            Self::Sent(sent) => Dispatched { sent, first: false },
+        }
+    }
+
+    /// Refuses the request: as not run if no attempt wrote a byte, else as unknown, or as ran if
+    /// a part of an answer was received.
+    pub fn refuse(self, denial: Denial, answered: bool) -> Refusal {
+        let Denial { code, message } = denial;
+        match self {
+            Self::Unsent(unsent) => unsent.refuse(code, message),
+            Self::Sent(sent) if answered => sent.refuse_ran(code, message),
+            Self::Sent(sent) => sent.refuse_unknown(code, message),
+        }
+    }
+
+    /// Returns whether an attempt may have written bytes.
+    pub fn is_sent(&self) -> bool {
+        matches!(self, Self::Sent(_))
+    }
+}
+
+impl Default for Dispatch {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Dispatched {
+    /// Ends an attempt after bytes may have been written.
+    pub fn end(self) -> Dispatch {
+        Dispatch::Sent(self.sent)
+    }
+
+    /// Ends an attempt whose connection could not be opened.
+    pub fn connect_failed(self, proof: ConnectFailed) -> Dispatch {
+        if self.first {
+            Dispatch::Unsent(self.sent.connect_failed(proof))
+        } else {
+            Dispatch::Sent(self.sent)
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/handler.rs
@@ -0,0 +1,150 @@
+//! Takes each request: authenticates and classifies it, and starts to serve it.
+
+use salvo::http::header::CONTENT_LENGTH;
+use salvo::http::{Method, ParseError};
+use salvo::prelude::{Depot, FlowCtrl, Request, Response};
+use salvo::{Handler, async_trait};
+use tokio::time::{Instant, timeout};
+use tracing::Instrument;
+
+use super::Entry;
+use super::auth::{self, Denial};
+use super::chat::{ChatRequest, Kind};
+use super::models;
+use super::relay::Relay;
+use super::reply::Reply;
+use super::sink;
+use super::work::Work;
+use crate::names::RequestId;
+use crate::outcome::{RefusalCode, Unsent};
+
+/// Header that names work which must run at most once.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// Longest idempotency key.
+const MAX_IDEMPOTENCY_KEY: usize = 255;
+
+#[async_trait]
+impl Handler for Entry {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        rsp: &mut Response,
+        _ctrl: &mut FlowCtrl,
+    ) {
+        let id = RequestId::random();
+        let span = tracing::info_span!("request", request = %id);
+        let reply = self.answer(req, &id).instrument(span).await;
+        reply.write(rsp, &id, *self.cx.draining.borrow());
+    }
+}
+
+impl Entry {
+    async fn answer(&self, req: &mut Request, id: &RequestId) -> Reply {
+        let unsent = Unsent::new();
+        match self.start(req, id).await {
+            Ok(reply) => reply,
+            Err(denial) => {
+                let refusal = unsent.refuse(denial.code, denial.message);
+                let code = refusal.code().as_str();
+                self.cx.metrics.add(crate::metrics::Counter::Refused, code, 1);
+                tracing::info!(code, "request refused");
+                Reply::Refused(refusal)
+            }
+        }
+    }
+
+    /// Starts to serve a request.
+    ///
+    /// # Errors
+    /// If it is refused before anything was sent.
+    async fn start(&self, req: &mut Request, id: &RequestId) -> Result<Reply, Denial> {
+        if self.cx.in_force.borrow().config.version == 0 {
+            return Err(Denial::new(RefusalCode::NotReady, "no configuration yet"));
+        }
+        let kind = match (req.uri().path(), req.method()) {
+            ("/v1/models", &Method::GET) => return self.list_models(req),
+            ("/v1/chat/completions", &Method::POST) => Kind::Chat,
+            ("/v1/completions", &Method::POST) => Kind::Completion,
+            _ => return Err(Denial::new(RefusalCode::NotFound, "no such path")),
+        };
+        self.start_chat(req, id, kind).await
+    }
+
+    fn list_models(&self, req: &Request) -> Result<Reply, Denial> {
+        let key = auth::presented_key(req.headers())?;
+        let in_force = self.cx.in_force.borrow().clone();
+        models::list(&in_force, key.as_ref()).map(Reply::Json)
+    }
+
+    async fn start_chat(
+        &self,
+        req: &mut Request,
+        id: &RequestId,
+        kind: Kind,
+    ) -> Result<Reply, Denial> {
+        let received = Instant::now();
+        let key = auth::presented_key(req.headers())?;
+        if let Some(key) = &key {
+            auth::organisation_of(&self.cx.in_force.borrow(), key)?;
+        }
+        let idempotency_key = idempotency_key(req)?;
+        let body = self.read_body(req).await?;
+        let chat = ChatRequest::parse(kind, &body)?;
+        // What is in force may have changed while the body came in.
+        let in_force = self.cx.in_force.borrow().clone();
+        let route = in_force.config.model_route(&chat.model);
+        let route = route.ok_or_else(|| Denial::new(RefusalCode::NotFound, "no such model"))?;
+        let caller = auth::authorise(&in_force, key, route)?;
+        let class = auth::choose_class(&in_force, &caller, route, req.headers())?;
+        chat.check_no_key(&caller)?;
+        let repeatable = auth::is_repeatable(&in_force.config, &class, route);
+        let route = route.name.clone();
+        let work = Work { id: id.clone(), caller, class, route, repeatable, received };
+        self.spawn(work, chat, idempotency_key).await
+    }
+
+    async fn spawn(
+        &self,
+        work: Work,
+        chat: ChatRequest,
+        idempotency_key: Option<String>,
+    ) -> Result<Reply, Denial> {
+        if !work.repeatable && idempotency_key.is_some() {
+            let message = "claims of idempotency keys are not available";
+            return Err(Denial::new(RefusalCode::ClaimUnavailable, message));
+        }
+        let (sink, source) = sink::channel(chat.streamed, self.cx.options.progress_bound);
+        let relay = Relay::new(self.clone(), work, chat, None, sink);
+        tokio::spawn(relay.run().in_current_span());
+        Ok(Reply::from_source(source).await)
+    }
+
+    /// Reads the request body, within the bounds on size and time.
+    async fn read_body(&self, req: &mut Request) -> Result<bytes::Bytes, Denial> {
+        let max = self.cx.options.max_body;
+        let too_large =
+            || Denial::new(RefusalCode::TooLarge, format!("the body is over {max} bytes"));
+        let announced = req.header::<u64>(CONTENT_LENGTH);
+        if announced.is_some_and(|length| length > max as u64) {
+            return Err(too_large());
+        }
+        let read = timeout(self.cx.options.progress_bound, req.payload_with_max_size(max));
+        match read.await {
+            Ok(Ok(body)) => Ok(body.clone()),
+            Ok(Err(ParseError::PayloadTooLarge)) => Err(too_large()),
+            Ok(Err(_)) => Err(Denial::new(RefusalCode::BadRequest, "the body can't be read")),
+            Err(_) => Err(Denial::new(RefusalCode::BadRequest, "the body came too slowly")),
+        }
+    }
+}
+
+/// Reads the idempotency key of a request.
+fn idempotency_key(req: &Request) -> Result<Option<String>, Denial> {
+    let bad = || Denial::new(RefusalCode::BadRequest, "\"Idempotency-Key\" is malformed");
+    let mut values = req.headers().get_all(IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    let text = value.to_str().map_err(|_| bad())?;
+    let valid = !text.is_empty() && text.len() <= MAX_IDEMPOTENCY_KEY;
+    if valid && values.all(|other| other == value) { Ok(Some(text.to_owned())) } else { Err(bad()) }
+}
--- /dev/null
+++ b/src/entry/join.rs
@@ -0,0 +1,97 @@
+//! Joins the chunks of a stream into one answer for callers that did not ask for a stream.
+
+use serde_json::{Map, Value, json};
+
+use super::chat::Kind;
+use super::chunk::Usage;
+
+/// Collects an answer.
+#[derive(Debug, Default)]
+pub struct Joiner {
+    created: Value,
+    model: Value,
+    text: String,
+    tool_calls: Vec<Map<String, Value>>,
+}
+
+impl Joiner {
+    /// Adds a token of text.
+    pub fn push_text(&mut self, text: &str) {
+        self.text.push_str(text);
+    }
+
+    /// Takes over what a chunk tells about the whole answer.
+    pub fn push_chunk(&mut self, data: &[u8]) {
+        let Ok(chunk) = serde_json::from_slice::<Value>(data) else { return };
+        self.created = chunk["created"].clone();
+        self.model = chunk["model"].clone();
+        if let Value::Array(calls) = &chunk["choices"][0]["delta"]["tool_calls"] {
+            calls.iter().for_each(|call| self.push_tool_call(call));
+        }
+    }
+
+    /// Forgets what was collected, before an answer starts again.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Returns the joined answer.
+    pub fn finish(self, kind: Kind, id: &str, finish_reason: &str, usage: Usage) -> Value {
+        let mut choice = json!({ "index": 0, "finish_reason": finish_reason, "logprobs": null });
+        let object = match kind {
+            Kind::Completion => {
+                choice["text"] = self.text.into();
+                "text_completion"
+            }
+            Kind::Chat => {
+                choice["message"] = message(self.text, self.tool_calls);
+                "chat.completion"
+            }
+        };
+        json!({
+            "id": format!("{}{id}", kind.id_prefix()),
+            "object": object,
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+            "usage": usage_json(usage),
+        })
+    }
+
+    fn push_tool_call(&mut self, call: &Value) {
+        let index = call["index"].as_u64().unwrap_or_default() as usize;
+        // An engine numbers its calls without gaps; a number beyond the next one is dropped.
+        if index > self.tool_calls.len() {
+            return;
+        }
+        if index == self.tool_calls.len() {
+            let mut call = call.as_object().cloned().unwrap_or_default();
+            call.remove("index");
+            self.tool_calls.push(call);
+            return;
+        }
+        let more = call["function"]["arguments"].as_str().unwrap_or_default();
+        if let Some(Value::String(known)) =
+            self.tool_calls[index].get_mut("function").and_then(|f| f.get_mut("arguments"))
+        {
+            known.push_str(more);
+        }
+    }
+}
+
+/// Returns the usage object of an answer.
+pub fn usage_json(usage: Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.total_tokens,
+    })
+}
+
+fn message(text: String, tool_calls: Vec<Map<String, Value>>) -> Value {
+    if tool_calls.is_empty() {
+        return json!({ "role": "assistant", "content": text });
+    }
+    let content = if text.is_empty() { Value::Null } else { text.into() };
+    json!({ "role": "assistant", "content": content, "tool_calls": tool_calls })
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,56 @@
+//! The entry: receives requests, decides who they run for, and relays answers.
+//!
+//! [`server`] accepts connections and [`handler`] takes each request. A chat request is served by
+//! a task of its own, a [`relay`], which asks for a slot ([`admit`]), sends the request
+//! ([`attempt`]) and passes the checked answer ([`chunk`]) to the caller ([`sink`]). Requests to
+//! plain services go the same way in [`plain`].
+
+pub mod admit;
+pub mod attempt;
+pub mod auth;
+pub mod backend;
+pub mod chat;
+pub mod chunk;
+pub mod dispatch;
+pub mod handler;
+pub mod join;
+pub mod models;
+pub mod pick;
+pub mod relay;
+pub mod reply;
+pub mod retry;
+pub mod server;
+pub mod sink;
+pub mod sse;
+pub mod work;
+
+pub use server::serve;
+
+use crate::config::BackendServer;
+use crate::context::Context;
+use crate::home::Admitter;
+use crate::usage::Ledger;
+
+/// Shared parts of the entry; clones are cheap.
+#[derive(Clone)]
+pub struct Entry {
+    /// Shared parts of the instance.
+    pub cx: Context,
+    /// Asks for slots.
+    pub admitter: Admitter,
+    /// Records what is to be billed.
+    pub ledger: Ledger,
+    /// Connections to backend servers.
+    pub backends: backend::Backends,
+    /// Budget of retries.
+    pub budget: retry::RetryBudget,
+}
+
+impl Entry {
+    /// Returns whether a backend server takes new work at this moment.
+    pub fn takes_work(&self, server: &BackendServer) -> bool {
+        let in_force = self.cx.in_force.borrow();
+        let current = in_force.config.backend_servers.get(&server.name);
+        current.is_some_and(|current| in_force.takes_work(current))
+    }
+}
--- /dev/null
+++ b/src/entry/models.rs
@@ -0,0 +1,28 @@
+//! The list of models that a caller may use.
+
+use serde_json::{Value, json};
+
+use super::auth::{Denial, PresentedKey, authorise};
+use crate::config::{InForce, RouteTarget};
+
+/// Returns the models that a key, or a caller without one, may use.
+///
+/// # Errors
+/// If the key is not valid.
+pub fn list(in_force: &InForce, key: Option<&PresentedKey>) -> Result<Value, Denial> {
+    if let Some(key) = key {
+        super::auth::organisation_of(in_force, key)?;
+    }
+    let models: Vec<Value> = in_force
+        .config
+        .routes
+        .values()
+        .filter(|route| authorise(in_force, key.cloned(), route).is_ok())
+        .filter_map(|route| match &route.target {
+            RouteTarget::Model(model) => Some(model),
+            RouteTarget::Prefix(_) => None,
+        })
+        .map(|model| json!({ "id": model, "object": "model", "created": 0, "owned_by": "laburnumvalve" }))
+        .collect();
+    Ok(json!({ "object": "list", "data": models }))
+}
--- /dev/null
+++ b/src/entry/reply.rs
@@ -0,0 +1,108 @@
+//! Writing answers and refusals to the caller's connection.
+
+use salvo::http::header::{CACHE_CONTROL, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use salvo::http::{HeaderMap, HeaderValue, ResBody, StatusCode};
+use salvo::prelude::Response;
+use serde_json::{Value, json};
+
+use super::sink::{Head, Source};
+use crate::names::RequestId;
+use crate::outcome::{Refusal, RefusalCode, Sent, Unsent};
+
+/// Header with the request's identifier.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// An answer to be written.
+pub enum Reply {
+    /// A refusal.
+    Refused(Refusal),
+    /// One JSON value.
+    Json(Value),
+    /// A stream of server-sent events.
+    Events(Source),
+    /// An answer of a plain service.
+    Plain(StatusCode, HeaderMap, ResBody),
+}
+
+impl Reply {
+    /// Waits for the head of an answer that a task prepares.
+    pub async fn from_source(mut source: Source) -> Self {
+        match source.head().await {
+            Some(Head::Refused(refusal)) => Self::Refused(refusal),
+            Some(Head::Whole(value)) => Self::Json(value),
+            Some(Head::Streaming) => Self::Events(source),
+            None => Self::Refused(failed_task()),
+        }
+    }
+
+    /// Writes the answer.
+    pub fn write(self, rsp: &mut Response, id: &RequestId, draining: bool) {
+        match self {
+            Self::Refused(refusal) => write_refusal(rsp, &refusal, id),
+            Self::Json(value) => write_json(rsp, StatusCode::OK, &value),
+            Self::Events(source) => write_events(rsp, source),
+            Self::Plain(status, headers, body) => {
+                rsp.status_code(status);
+                rsp.set_headers(headers);
+                rsp.body(body);
+            }
+        }
+        if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+            rsp.headers_mut().insert(REQUEST_ID, value);
+        }
+        if draining {
+            rsp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+    }
+}
+
+/// Returns the refusal of a request whose task failed; nothing is known about what it did.
+fn failed_task() -> Refusal {
+    let sent: Sent = Unsent::new().send();
+    sent.refuse_unknown(RefusalCode::Internal, "the request's task failed")
+}
+
+/// Returns the body of an error answer.
+pub fn error_body(refusal: &Refusal, id: &RequestId) -> Value {
+    json!({
+        "error": {
+            "message": refusal.message(),
+            "type": error_type(refusal.code().status()),
+            "code": refusal.code().as_str(),
+            "request_id": id.as_str(),
+            "ran": refusal.ran().as_str(),
+        }
+    })
+}
+
+fn error_type(status: u16) -> &'static str {
+    match status {
+        401 => "authentication_error",
+        403 => "permission_error",
+        429 => "rate_limit_error",
+        400..=499 => "invalid_request_error",
+        _ => "server_error",
+    }
+}
+
+fn write_refusal(rsp: &mut Response, refusal: &Refusal, id: &RequestId) {
+    let status = StatusCode::from_u16(refusal.code().status());
+    write_json(rsp, status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR), &error_body(refusal, id));
+    if let Some(delay) = refusal.retry_after() {
+        let seconds = delay.as_millis().div_ceil(1_000).max(1) as u64;
+        rsp.headers_mut().insert(RETRY_AFTER, seconds.into());
+    }
+}
+
+fn write_json(rsp: &mut Response, status: StatusCode, value: &Value) {
+    rsp.status_code(status);
+    rsp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    rsp.body(ResBody::Once(value.to_string().into()));
+}
+
+fn write_events(rsp: &mut Response, source: Source) {
+    rsp.status_code(StatusCode::OK);
+    rsp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    rsp.headers_mut().insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    rsp.body(ResBody::stream(source.into_stream()));
+}
--- /dev/null
+++ b/src/entry/server.rs
@@ -0,0 +1,59 @@
+//! Accepts callers' connections, within bounds, until the instance has drained.
+
+use std::time::Duration;
+
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
+use salvo::prelude::{Router, Server};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::Entry;
+use super::backend::Backends;
+use super::retry::RetryBudget;
+use crate::context::Context;
+use crate::home::Admitter;
+use crate::usage::Ledger;
+
+/// Longest time that a caller may take to send its headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Smallest header buffer that the HTTP library accepts, in bytes.
+const MIN_HEADER_BUFFER: usize = 8 << 10;
+/// Time during which a draining instance still accepts connections, since the balancer learns
+/// late that it is leaving.
+const ACCEPT_GRACE: Duration = Duration::from_secs(3);
+
+/// Serves callers; returns when the instance has drained.
+///
+/// # Errors
+/// If the listener can't be used.
+pub async fn serve(
+    listener: TcpListener,
+    cx: Context,
+    admitter: Admitter,
+    ledger: Ledger,
+) -> eyre::Result<()> {
+    let mut draining = cx.draining.clone();
+    let options = cx.options.clone();
+    let entry =
+        Entry { cx, admitter, ledger, backends: Backends::new()?, budget: RetryBudget::default() };
+    let fuse = FuseConfig::default()
+        .with_http1_header_timeout(HEADER_TIMEOUT)
+        .with_write_stall_timeout(options.progress_bound);
+    let mut server = Server::new(TcpAcceptor::try_from(listener)?)
+        .fuse_config(fuse)
+        .max_connections(options.max_connections);
+    server.http1_mut().max_buf_size(options.max_header.max(MIN_HEADER_BUFFER));
+    server.http2_mut().max_header_list_size(options.max_header as u32);
+    let handle = server.handle();
+    let drain_bound = options.drain_bound;
+    tokio::spawn(async move {
+        if draining.wait_for(|draining| *draining).await.is_ok() {
+            sleep(ACCEPT_GRACE).await;
+            handle.stop_graceful(drain_bound);
+        }
+    });
+    let router = Router::with_path("{**path}").goal(entry);
+    server.try_serve(router).await?;
+    Ok(())
+}
--- /dev/null
+++ b/src/entry/sink.rs
@@ -0,0 +1,139 @@
+//! The way of an answer from the task that serves a request to the caller's connection.
+//!
+//! The head tells how the answer begins, events follow over a bounded channel, and the tail ends
+//! a stream. A stream whose tail never comes is aborted, so that it can't look whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt, stream};
+use serde_json::Value;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+use tokio_stream::wrappers::ReceiverStream;
+
+use super::sse;
+use crate::outcome::Refusal;
+
+/// Events that wait for a slow caller before the engine's stream is read no further.
+const BUFFERED_EVENTS: usize = 32;
+/// Time without an event after which a stream's caller gets a comment.
+const KEEP_ALIVE_PERIOD: Duration = Duration::from_secs(5);
+
+/// How an answer begins.
+#[derive(Debug)]
+pub enum Head {
+    /// It is a refusal.
+    Refused(Refusal),
+    /// It is a stream.
+    Streaming,
+    /// It is one JSON value.
+    Whole(Value),
+}
+
+/// The caller is gone, or reads nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Gone;
+
+/// Sending side.
+pub struct Sink {
+    streamed: bool,
+    head: Option<oneshot::Sender<Head>>,
+    events: mpsc::Sender<Bytes>,
+    tail: oneshot::Sender<Bytes>,
+    bound: Duration,
+}
+
+/// Receiving side.
+pub struct Source {
+    head: oneshot::Receiver<Head>,
+    events: mpsc::Receiver<Bytes>,
+    tail: oneshot::Receiver<Bytes>,
+}
+
+/// Makes both sides; a caller that takes no event for `bound` counts as gone.
+pub fn channel(streamed: bool, bound: Duration) -> (Sink, Source) {
+    let (head_tx, head) = oneshot::channel();
+    let (events_tx, events) = mpsc::channel(BUFFERED_EVENTS);
+    let (tail_tx, tail) = oneshot::channel();
+    let sink = Sink { streamed, head: Some(head_tx), events: events_tx, tail: tail_tx, bound };
+    (sink, Source { head, events, tail })
+}
+
+impl Sink {
+    /// Returns whether the caller wants a stream.
+    pub fn is_streamed(&self) -> bool {
+        self.streamed
+    }
+
+    /// Passes an event to the caller of a stream.
+    ///
+    /// # Errors
+    /// If the caller is gone or reads nothing.
+    pub async fn event(&mut self, event: Bytes) -> Result<(), Gone> {
+        self.start();
+        match timeout(self.bound, self.events.send(event)).await {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(Gone),
+        }
+    }
+
+    /// Keeps the connection to the caller alive; returns when the caller is gone.
+    pub async fn idle(&mut self) {
+        loop {
+            tokio::select! {
+                () = self.events.closed() => return,
+                () = sleep(KEEP_ALIVE_PERIOD) => {
+                    if self.streamed && self.event(sse::KEEP_ALIVE).await.is_err() {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends a stream as whole.
+    pub fn complete_stream(mut self) {
+        self.start();
+        let _ = self.tail.send(sse::event(sse::DONE.as_bytes()));
+    }
+
+    /// Answers with one value.
+    pub fn complete(mut self, value: Value) {
+        if let Some(head) = self.head.take() {
+            let _ = head.send(Head::Whole(value));
+        }
+    }
+
+    /// Ends with a refusal: as the whole answer, or as the last event of a stream that began.
+    pub fn refuse(mut self, refusal: Refusal, body: &Value) {
+        match self.head.take() {
+            Some(head) => {
+                let _ = head.send(Head::Refused(refusal));
+            }
+            None => {
+                let _ = self.tail.send(sse::json_event(body));
+            }
+        }
+    }
+
+    fn start(&mut self) {
+        if let Some(head) = self.head.take() {
+            let _ = head.send(Head::Streaming);
+        }
+    }
+}
+
+impl Source {
+    /// Waits for the head; none if the serving task failed.
+    pub async fn head(&mut self) -> Option<Head> {
+        (&mut self.head).await.ok()
+    }
+
+    /// Returns the bytes of the stream; it ends with an error if the tail never comes.
+    pub fn into_stream(self) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send {
+        let Self { events, tail, .. } = self;
+        let tail = async move { tail.await.map_err(|_| std::io::Error::other("answer cut short")) };
+        ReceiverStream::new(events).map(Ok).chain(stream::once(tail))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod config;
 pub mod context;
+pub mod entry;
 pub mod event;
 pub mod home;
 pub mod metrics;
