--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod entry;
 pub mod event;
 pub mod home;
+pub mod log;
 pub mod metrics;
 pub mod names;
 pub mod options;
