--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,7 @@
 
 pub use server::serve;
 
+use crate::claim::Claims;
 use crate::config::BackendServer;
 use crate::context::Context;
 use crate::home::Admitter;
@@ -40,6 +41,8 @@
     pub admitter: Admitter,
     /// Records what is to be billed.
     pub ledger: Ledger,
+    /// Makes claims of idempotency keys.
+    pub claims: Claims,
     /// Connections to backend servers.
     pub backends: backend::Backends,
     /// Budget of retries.
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -11,6 +11,7 @@
 use super::Entry;
 use super::backend::Backends;
 use super::retry::RetryBudget;
+use crate::claim::Claims;
 use crate::context::Context;
 use crate::home::Admitter;
 use crate::usage::Ledger;
@@ -32,6 +33,7 @@
     cx: Context,
     admitter: Admitter,
     ledger: Ledger,
+    claims: Claims,
 ) -> eyre::Result<()> {
     let mut draining = cx.draining.clone();
     let options = cx.options.clone();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #[macro_use]
 mod macros;
 
+pub mod claim;
 pub mod cli;
 pub mod clock;
 pub mod config;
