--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -37,8 +37,14 @@
 ) -> eyre::Result<()> {
     let mut draining = cx.draining.clone();
     let options = cx.options.clone();
-    let entry =
-        Entry { cx, admitter, ledger, backends: Backends::new()?, budget: RetryBudget::default() };
+    let entry = Entry {
+        cx,
+        admitter,
+        ledger,
+        claims,
+        backends: Backends::new()?,
+        budget: RetryBudget::default(),
+    };
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(HEADER_TIMEOUT)
         .with_write_stall_timeout(options.progress_bound);
