Add admission: queue, limit, home service and admitter

Cause: an entry needs a slot on a backend server from the one instance that orders its queue. Ruled out: forced hand-over by the new home (two views that differ would take the server from each other for ever); instead the new home waits until the others say that they are not home.

--- a/src/home/client.rs
+++ b/src/home/client.rs
@@ -1,9 +1,29 @@
 //! The entry's side of admission: asks the home instance of a backend server for a slot.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use tonic::{Status, Streaming};
+
 use crate::context::Context;
 use crate::names::{BackendServerName, ClassName, OrganisationName, RequestId};
+use crate::peer::generated::v1::admit_reply::Message as Reply;
+use crate::peer::generated::v1::admit_request::Message as Asked;
+use crate::peer::generated::v1::refused::Reason;
+use crate::peer::generated::v1::{
+    AdmitReply, AdmitRequest, Enqueue, Finish, FinishKind, Progress, Refused,
+};
+
+/// Silence of a home instance after which it counts as unreachable.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long the end of a call may take after its last message.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often a home that moved is looked up again for one request.
+const MAX_MOVES: u32 = 4;
+/// Pause before a home that moved is looked up again, multiplied by the number of the try.
+const MOVE_PAUSE: Duration = Duration::from_millis(50);
 
 /// A request for a slot on one backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -87,6 +107,15 @@
 #[derive(Debug)]
 pub struct Permit {
     cold: bool,
+    call: Option<Call>,
+}
+
+/// The open call to the home instance.
+#[derive(Debug)]
+struct Call {
+    asks: mpsc::UnboundedSender<AdmitRequest>,
+    replies: Streaming<AdmitReply>,
+    first_token_sent: AtomicBool,
 }
 
 impl Permit {
@@ -96,38 +125,194 @@
     }
 
     /// Tells the home instance how far the answer is.
-    pub fn progress(&self, _output_tokens: u64, _first_token: Option<Duration>) {
-        unimplemented!("admission")
+    ///
+    /// Only the first message with a time to the first token is sent; the rest is known at the end.
+    pub fn progress(&self, output_tokens: u64, first_token: Option<Duration>) {
+        let (Some(call), Some(time)) = (&self.call, first_token) else { return };
+        if call.first_token_sent.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let progress = Progress { output_tokens, first_token_ms: millis(time).max(1) };
+        call.send(Asked::Progress(progress));
     }
 
     /// Gives the slot back.
-    pub fn finish(self, _ending: Ending, _figures: Figures) {
-        unimplemented!("admission")
+    pub fn finish(mut self, ending: Ending, figures: Figures) {
+        self.end(ending, figures);
     }
 
     /// Waits until the home instance is lost, which doesn't end the request.
     pub async fn home_lost(&mut self) {
-        unimplemented!("admission")
+        match &mut self.call {
+            Some(call) => while let Ok(Some(_)) = call.replies.message().await {},
+            None => std::future::pending().await,
+        }
+    }
+
+    fn end(&mut self, ending: Ending, figures: Figures) {
+        let Some(call) = self.call.take() else { return };
+        call.send(Asked::Finish(finish(ending, figures)));
+        // The call stays open until the home has read the last message.
+        if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+            runtime.spawn(call.close());
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.end(Ending::Cancelled, Figures::default());
+    }
+}
+
+impl Call {
+    fn send(&self, message: Asked) {
+        // If the home instance is lost there is nobody to tell.
+        let _ = self.asks.send(AdmitRequest { message: Some(message) });
+    }
+
+    async fn close(mut self) {
+        let read = async { while let Ok(Some(_)) = self.replies.message().await {} };
+        // After the bound the connection is of no use any more.
+        let _ = tokio::time::timeout(CLOSE_TIMEOUT, read).await;
     }
 }
 
 /// Asks home instances for slots; clones share the connections.
 #[derive(Clone)]
 pub struct Admitter {
-    _cx: Context,
+    cx: Context,
 }
 
 impl Admitter {
     /// Makes an admitter for this instance.
     pub fn new(cx: Context) -> Self {
-        Self { _cx: cx }
+        Self { cx }
     }
 
     /// Waits for a slot on a backend server.
     ///
+    /// A home instance that has changed is looked up again for a short time.
+    ///
     /// # Errors
     /// Says why there is none; the request was not sent to the backend server.
-    pub async fn admit(&self, _ask: Ask) -> Result<Permit, AdmitError> {
-        unimplemented!("admission")
+    pub async fn admit(&self, ask: Ask) -> Result<Permit, AdmitError> {
+        let mut moves = 0;
+        loop {
+            let outcome = self.admit_once(&ask).await;
+            let moved = matches!(outcome, Err(AdmitError::NotHome | AdmitError::Draining));
+            if !moved || moves >= MAX_MOVES {
+                return outcome;
+            }
+            moves += 1;
+            tokio::time::sleep(MOVE_PAUSE * moves).await;
+        }
+    }
+
+    async fn admit_once(&self, ask: &Ask) -> Result<Permit, AdmitError> {
+        let address = self.home_address(&ask.server)?;
+        let mut client = self.cx.pool.home(&address).map_err(|_| AdmitError::Unreachable)?;
+        let (asks, rx) = mpsc::unbounded_channel();
+        let enqueue = self.enqueue(ask);
+        // The receiver is held here, so the send can't fail.
+        let _ = asks.send(AdmitRequest { message: Some(Asked::Enqueue(enqueue)) });
+        let call = client.admit(UnboundedReceiverStream::new(rx));
+        let replies = within(REPLY_TIMEOUT, call).await?.into_inner();
+        let call = Call { asks, replies, first_token_sent: AtomicBool::new(false) };
+        wait_for_grant(call).await
     }
+
+    fn home_address(&self, server: &BackendServerName) -> Result<String, AdmitError> {
+        let in_force = self.cx.in_force.borrow().clone();
+        let server = in_force.config.backend_servers.get(server).ok_or(AdmitError::Out)?;
+        if !in_force.takes_work(server) {
+            return Err(AdmitError::Out);
+        }
+        let members = self.cx.members.borrow().clone();
+        let home = members.home(&server.name, &server.data_centre);
+        home.map(|home| home.peer_address.clone()).ok_or(AdmitError::Unreachable)
+    }
+
+    fn enqueue(&self, ask: &Ask) -> Enqueue {
+        let bound = |bound: Option<Duration>| bound.map_or(0, |bound| millis(bound).max(1));
+        Enqueue {
+            request: ask.request.to_string(),
+            backend_server: ask.server.to_string(),
+            organisation: ask.organisation.to_string(),
+            class: ask.class.to_string(),
+            estimated_tokens: ask.estimated_tokens,
+            prompt_tokens: ask.prompt_tokens,
+            deadline_ms: bound(ask.deadline),
+            wait_bound_ms: bound(ask.wait_bound),
+            entry: self.cx.options.instance.to_string(),
+            hlc: self.cx.clock.now().0,
+            repeatable: ask.repeatable,
+            attempt: ask.attempt,
+        }
+    }
+}
+
+/// Reads replies until the request is granted or refused.
+async fn wait_for_grant(mut call: Call) -> Result<Permit, AdmitError> {
+    loop {
+        let reply = within(REPLY_TIMEOUT, call.replies.message()).await?;
+        match reply.and_then(|reply| reply.message) {
+            Some(Reply::Granted(granted)) => {
+                return Ok(Permit { cold: granted.cold, call: Some(call) });
+            }
+            Some(Reply::Refused(refused)) => return Err(refusal(&refused)),
+            Some(Reply::Queued(_)) => {}
+            None => return Err(AdmitError::Unreachable),
+        }
+    }
+}
+
+/// Bounds the time of a call; whatever goes wrong means that the home can't be reached.
+async fn within<T>(
+    bound: Duration,
+    call: impl Future<Output = Result<T, Status>>,
+) -> Result<T, AdmitError> {
+    match tokio::time::timeout(bound, call).await {
+        Ok(Ok(value)) => Ok(value),
+        Ok(Err(_)) | Err(_) => Err(AdmitError::Unreachable),
+    }
+}
+
+fn refusal(refused: &Refused) -> AdmitError {
+    let after = Duration::from_millis(refused.retry_after_ms.into());
+    match refused.reason() {
+        Reason::NotHome => AdmitError::NotHome,
+        Reason::QueueFull => AdmitError::QueueFull(after),
+        Reason::Shed => AdmitError::Shed(after),
+        Reason::TooLate => AdmitError::TooLate(after),
+        Reason::Out => AdmitError::Out,
+        Reason::WaitAboveBound => {
+            AdmitError::WaitAboveBound(Duration::from_millis(refused.wait_ms.into()))
+        }
+        Reason::Draining => AdmitError::Draining,
+        Reason::OrganisationLimit => AdmitError::OrganisationLimit(after),
+        Reason::Ejected => AdmitError::Ejected,
+        Reason::Unspecified => AdmitError::Unreachable,
+    }
+}
+
+fn finish(ending: Ending, figures: Figures) -> Finish {
+    let kind = match ending {
+        Ending::Complete => FinishKind::Complete,
+        Ending::Cancelled => FinishKind::Cancelled,
+        Ending::ServerFailed => FinishKind::ServerFailed,
+        Ending::NotSent => FinishKind::NotSent,
+        Ending::Overloaded => FinishKind::Overloaded,
+    };
+    Finish {
+        prompt_tokens: figures.prompt_tokens,
+        output_tokens: figures.output_tokens,
+        kind: kind.into(),
+        first_token_ms: figures.first_token.map_or(0, |time| millis(time).max(1)),
+        token_gap_us: figures.token_gap.map_or(0, |gap| gap.as_micros().max(1) as u32),
+    }
+}
+
+fn millis(duration: Duration) -> u32 {
+    duration.as_millis().min(u128::from(u32::MAX)) as u32
 }
--- /dev/null
+++ b/src/home/health.rs
@@ -0,0 +1,163 @@
+//! Ejection of backend servers that fail, stay silent or are slow.
+//!
+//! An ejected server gets one probe request at a time. The time between ejection and the first
+//! probe grows with each ejection in a row. At most a part of the servers of a route may be
+//! ejected, so that a fault which all of them share never takes them all out.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Failures in a row after which a server is ejected.
+const MAX_FAILURES: u32 = 3;
+/// Slow requests in a row after which a server is ejected.
+const MAX_SLOW: u32 = 8;
+/// Factor between a server's token gap and its peers' median that counts as slow.
+const SLOW_FACTOR: u32 = 4;
+/// Time from the first ejection to the first probe.
+const FIRST_EJECTION: Duration = Duration::from_secs(2);
+/// Longest time from an ejection to the first probe.
+const MAX_EJECTION: Duration = Duration::from_secs(60);
+/// Whole probes in a row after which a server is back.
+const PROBES: u32 = 2;
+
+/// What is known of the other servers of the same routes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Peers {
+    /// Servers of the route with the fewest, this one included.
+    pub servers: usize,
+    /// How many of the others are ejected.
+    pub ejected: usize,
+    /// How many of the ejected others keep their ejection before this one.
+    pub ejected_first: usize,
+    /// Median time between tokens of the others.
+    pub token_gap: Option<Duration>,
+}
+
+impl Peers {
+    /// Returns how many servers may be ejected at once.
+    pub fn max_ejected(&self) -> usize {
+        match self.servers {
+            0 | 1 => 0,
+            servers => (servers / 3).max(1),
+        }
+    }
+}
+
+/// Whether a server gets requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Healthy,
+    Ejected { until: Instant },
+    Probing { passed: u32, probe: Option<u64> },
+}
+
+/// The health of one backend server.
+#[derive(Debug, Clone)]
+pub struct Health {
+    phase: Phase,
+    failures: u32,
+    slow: u32,
+    ejections: u32,
+    peers: Peers,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self { phase: Phase::Healthy, failures: 0, slow: 0, ejections: 0, peers: Peers::default() }
+    }
+}
+
+impl Health {
+    /// Returns whether the server is ejected or being probed.
+    pub fn is_ejected(&self) -> bool {
+        self.phase != Phase::Healthy
+    }
+
+    /// Takes over what is known of the other servers; ends an ejection above the cap.
+    pub fn set_peers(&mut self, peers: Peers) {
+        self.peers = peers;
+        if self.is_ejected() && peers.ejected_first >= peers.max_ejected() {
+            self.recover();
+        }
+    }
+
+    /// Returns whether a request may be admitted now; a probe must be repeatable.
+    pub fn admits(&mut self, now: Instant, repeatable: bool) -> bool {
+        if let Phase::Ejected { until } = self.phase
+            && now >= until
+        {
+            self.phase = Phase::Probing { passed: 0, probe: None };
+        }
+        match self.phase {
+            Phase::Healthy => true,
+            Phase::Ejected { .. } => false,
+            Phase::Probing { probe, .. } => probe.is_none() && repeatable,
+        }
+    }
+
+    /// Takes note that a request was queued, which is the probe if one is due.
+    pub fn queued(&mut self, id: u64) {
+        if let Phase::Probing { probe: probe @ None, .. } = &mut self.phase {
+            *probe = Some(id);
+        }
+    }
+
+    /// Takes note of a request that left without a verdict on the server.
+    pub fn left(&mut self, id: u64) {
+        if let Phase::Probing { probe, .. } = &mut self.phase
+            && *probe == Some(id)
+        {
+            *probe = None;
+        }
+    }
+
+    /// Takes note of a request that ended whole.
+    pub fn succeeded(&mut self, now: Instant, id: u64, token_gap: Option<Duration>) {
+        self.failures = 0;
+        let slow = match (token_gap, self.peers.token_gap) {
+            (Some(own), Some(peers)) => own > peers * SLOW_FACTOR,
+            _ => false,
+        };
+        self.slow = if slow { self.slow + 1 } else { 0 };
+        if self.slow >= MAX_SLOW {
+            self.eject(now);
+            return;
+        }
+        let Phase::Probing { passed, probe } = &mut self.phase else { return };
+        if *probe != Some(id) {
+            return;
+        }
+        *probe = None;
+        *passed += 1;
+        if *passed >= PROBES {
+            self.recover();
+        }
+    }
+
+    /// Takes note of a request that the server failed or left without an answer.
+    pub fn failed(&mut self, now: Instant, id: u64) {
+        self.failures += 1;
+        let probe_failed = matches!(self.phase, Phase::Probing { probe, .. } if probe == Some(id));
+        if probe_failed || (self.phase == Phase::Healthy && self.failures >= MAX_FAILURES) {
+            self.eject(now);
+        }
+    }
+
+    fn eject(&mut self, now: Instant) {
+        if self.peers.ejected >= self.peers.max_ejected() {
+            return;
+        }
+        let time = FIRST_EJECTION * 2u32.saturating_pow(self.ejections.min(5));
+        self.ejections += 1;
+        self.slow = 0;
+        self.phase = Phase::Ejected { until: now + time.min(MAX_EJECTION) };
+    }
+
+    fn recover(&mut self) {
+        self.phase = Phase::Healthy;
+        self.failures = 0;
+        self.slow = 0;
+        self.ejections = self.ejections.saturating_sub(1);
+    }
+}
--- a/src/home/mod.rs
+++ b/src/home/mod.rs
@@ -1,5 +1,27 @@
 //! The admission queue of each backend server, kept by the server's home instance.
+//!
+//! [`admission`] holds the decisions of one server and is built from [`queue`], [`limit`],
+//! [`health`], [`tenure`] and others without input or output; [`task`] runs it, [`homes`] starts
+//! and ends the tasks as the fleet changes, and [`service`] and [`client`] are the two ends of the
+//! calls between instances.
 
+pub mod admission;
 pub mod client;
+pub mod fair;
+pub mod health;
+pub mod homes;
+pub mod limit;
+pub mod occupancy;
+pub mod pace;
+pub mod pick;
+pub mod poll;
+pub mod queue;
+pub mod report;
+pub mod service;
+pub mod task;
+pub mod tenure;
 
-pub use client::{AdmitError, Admitter, Ask, Ending, Permit};
+pub use client::{AdmitError, Admitter, Ask, Ending, Figures, Permit};
+pub use homes::{Homes, start};
+pub use pick::{Candidate, Picker};
+pub use service::service;
--- /dev/null
+++ b/src/home/pace.rs
@@ -0,0 +1,63 @@
+//! Measured cost and pace of the requests of one backend server, for estimates of waits.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::names::ClassName;
+
+/// Weight of a new sample in the moving averages.
+const SAMPLE_WEIGHT: f64 = 0.1;
+/// Prompt tokens that count as much as one output token.
+pub const PROMPT_TOKENS_PER_OUTPUT_TOKEN: u64 = 16;
+/// Bounds of the correction of estimated lengths.
+const MIN_CORRECTION: f64 = 0.02;
+const MAX_CORRECTION: f64 = 8.0;
+/// Pace of one slot in tokens a second until one was measured.
+const DEFAULT_SLOT_PACE: f64 = 30.0;
+/// Cost of a request in tokens until one was measured.
+const DEFAULT_COST: f64 = 200.0;
+
+/// Returns the cost in tokens of a request with the given lengths.
+pub fn cost(prompt_tokens: u64, output_tokens: u64) -> u64 {
+    (output_tokens + prompt_tokens / PROMPT_TOKENS_PER_OUTPUT_TOKEN).max(1)
+}
+
+/// Moving averages of what requests cost and how fast slots work.
+#[derive(Debug, Clone)]
+pub struct Pace {
+    slot_pace: f64,
+    mean_cost: f64,
+    corrections: BTreeMap<ClassName, f64>,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Self { slot_pace: DEFAULT_SLOT_PACE, mean_cost: DEFAULT_COST, corrections: BTreeMap::new() }
+    }
+}
+
+impl Pace {
+    /// Returns the cost expected of a request, corrected by what its class cost before.
+    pub fn expected_cost(&self, class: &ClassName, estimate: u64) -> u64 {
+        let correction = self.corrections.get(class).copied().unwrap_or(1.0);
+        ((estimate as f64 * correction) as u64).max(1)
+    }
+
+    /// Takes note of a request that ended whole.
+    pub fn ended(&mut self, class: &ClassName, estimate: u64, cost: u64, held: Duration) {
+        let sample = (cost as f64 / estimate.max(1) as f64).clamp(MIN_CORRECTION, MAX_CORRECTION);
+        let correction = self.corrections.entry(class.clone()).or_insert(sample);
+        *correction += SAMPLE_WEIGHT * (sample - *correction);
+        self.mean_cost += SAMPLE_WEIGHT * (cost as f64 - self.mean_cost);
+        if !held.is_zero() {
+            let pace = cost as f64 / held.as_secs_f64();
+            self.slot_pace += SAMPLE_WEIGHT * (pace - self.slot_pace);
+        }
+    }
+
+    /// Returns how long a number of slots take for an amount of work and the next free slot.
+    pub fn wait(&self, cost_ahead: u64, slots: u32) -> Duration {
+        let pace = self.slot_pace.max(0.1) * f64::from(slots.max(1));
+        Duration::from_secs_f64(((cost_ahead as f64 + self.mean_cost) / pace).min(3_600.0))
+    }
+}
--- /dev/null
+++ b/src/home/pick.rs
@@ -0,0 +1,195 @@
+//! The choice of candidate backend servers for a request.
+//!
+//! Reported loads are some seconds old, so always taking the least loaded server would send all
+//! entries to the same one. The first choice is therefore the better of two candidates drawn by
+//! weight (power of two choices, Mitzenmacher 2001), and one of them is the server that the
+//! leading part of the conversation hashes to, where its prefix is likely to be cached. The home
+//! of the first candidate knows its exact wait and refuses above the bound given here, after which
+//! the second candidate is asked.
+
+use std::time::Duration;
+
+use crate::config::{BackendServer, Class, InForce, Repeatability, Route, ServerKind};
+use crate::names::{BackendServerName, DataCentreName};
+use crate::peer::members::weight;
+use crate::peer::{Loads, Members};
+
+/// Time that a cached prefix saves.
+const PREFIX_SAVING: Duration = Duration::from_millis(400);
+/// Extra cost of a server in another data centre of the region.
+const OTHER_CENTRE: Duration = Duration::from_millis(10);
+/// Extra cost of a server in another region.
+const OTHER_REGION: Duration = Duration::from_millis(200);
+/// Extra cost of a server in cold start.
+const COLD: Duration = Duration::from_secs(3);
+/// Extra cost of a server whose home hasn't reported its load.
+const UNKNOWN: Duration = Duration::from_millis(500);
+/// Extra cost of a server of the kind that suits the request less.
+const OTHER_KIND: Duration = Duration::from_millis(150);
+/// Extra cost of a server that is ejected.
+const EJECTED: Duration = Duration::from_secs(30);
+/// Extra cost of a reclaimable server for work that must not meet a reclaim.
+const RECLAIMABLE: Duration = Duration::from_secs(20);
+/// Wait by which the first candidate may exceed the second before the second is preferred.
+const WAIT_MARGIN: Duration = Duration::from_millis(50);
+/// Time that a request takes if nothing was measured, for servers whose slots are all used.
+const USUAL_HOLD: Duration = Duration::from_secs(3);
+
+/// A backend server to ask for a slot.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The backend server.
+    pub server: BackendServerName,
+    /// Wait above which the next candidate is preferred.
+    pub wait_bound: Option<Duration>,
+}
+
+/// What the choice for one request depends on.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish<'a> {
+    /// The route.
+    pub route: &'a Route,
+    /// The class.
+    pub class: &'a Class,
+    /// Hash of the leading part of the conversation; equal for requests that share a prefix.
+    pub prefix: u64,
+    /// Random number that spreads requests.
+    pub seed: u64,
+    /// Servers that were tried before.
+    pub exclude: &'a [BackendServerName],
+}
+
+/// Chooses candidates for an entry in a data centre.
+#[derive(Debug, Clone)]
+pub struct Picker {
+    data_centre: DataCentreName,
+}
+
+/// A server with what a request on it is expected to cost in time.
+struct Scored<'a> {
+    server: &'a BackendServer,
+    wait: Duration,
+    cost: Duration,
+}
+
+impl Picker {
+    /// Makes a picker for an entry in a data centre.
+    pub fn new(data_centre: DataCentreName) -> Self {
+        Self { data_centre }
+    }
+
+    /// Returns at most two candidates, the better one first.
+    pub fn candidates(
+        &self,
+        in_force: &InForce,
+        members: &Members,
+        loads: &Loads,
+        wish: &Wish<'_>,
+    ) -> Vec<Candidate> {
+        let scored: Vec<Scored<'_>> = in_force
+            .config
+            .servers_of(&wish.route.name)
+            .filter(|server| in_force.takes_work(server))
+            .filter(|server| !wish.exclude.contains(&server.name))
+            .filter(|server| members.home(&server.name, &server.data_centre).is_some())
+            .map(|server| self.score(in_force, loads, wish, server))
+            .collect();
+        choose(scored, wish)
+    }
+
+    fn score<'a>(
+        &self,
+        in_force: &InForce,
+        loads: &Loads,
+        wish: &Wish<'_>,
+        server: &'a BackendServer,
+    ) -> Scored<'a> {
+        let mut cost = self.distance(in_force, server) + kind_cost(wish.class, server.kind);
+        let mut wait = Duration::ZERO;
+        match loads.get(&server.name) {
+            Some(load) => {
+                wait = Duration::from_millis(load.wait_ms.into());
+                if wait.is_zero() {
+                    // A server with many used slots is likely to be full before the request is.
+                    let used = f64::from(load.running) / f64::from(load.limit.max(1));
+                    cost += USUAL_HOLD.mul_f64(used.min(1.0).powi(4) * 0.1);
+                }
+                cost += if load.cold { COLD } else { Duration::ZERO };
+                cost += if load.ejected { EJECTED } else { Duration::ZERO };
+            }
+            None => cost += UNKNOWN,
+        }
+        Scored { server, wait, cost: cost + wait }
+    }
+
+    fn distance(&self, in_force: &InForce, server: &BackendServer) -> Duration {
+        if server.data_centre == self.data_centre {
+            return Duration::ZERO;
+        }
+        let region = |name: &DataCentreName| {
+            in_force.config.data_centres.get(name).map(|centre| &centre.region)
+        };
+        if region(&server.data_centre) == region(&self.data_centre) {
+            OTHER_CENTRE
+        } else {
+            OTHER_REGION
+        }
+    }
+}
+
+/// Picks the cheaper of the prefix's server and a drawn one, and another one as the second.
+fn choose(mut scored: Vec<Scored<'_>>, wish: &Wish<'_>) -> Vec<Candidate> {
+    let key = wish.prefix.to_string();
+    let affine = scored
+        .iter()
+        .max_by_key(|scored| weight(scored.server.name.as_str(), &key))
+        .map(|scored| scored.server.name.clone());
+    for scored in &mut scored {
+        if Some(&scored.server.name) == affine.as_ref() {
+            scored.cost = scored.cost.saturating_sub(PREFIX_SAVING);
+        }
+    }
+    let mut drawn = draw(&scored, affine.as_ref(), wish.seed);
+    drawn.sort_by_key(|scored| scored.cost);
+    let second_wait = drawn.get(1).map(|second| second.wait + WAIT_MARGIN + PREFIX_SAVING);
+    drawn
+        .iter()
+        .take(2)
+        .enumerate()
+        .map(|(index, scored)| Candidate {
+            server: scored.server.name.clone(),
+            wait_bound: if index == 0 { second_wait } else { None },
+        })
+        .collect()
+}
+
+/// Returns the prefix's server and two drawn ones, of which cheap ones are likelier.
+fn draw<'a, 'b>(
+    scored: &'b [Scored<'a>],
+    affine: Option<&BackendServerName>,
+    seed: u64,
+) -> Vec<&'b Scored<'a>> {
+    let mut drawn: Vec<&Scored<'_>> =
+        scored.iter().filter(|scored| Some(&scored.server.name) == affine).collect();
+    let mut rest: Vec<&Scored<'_>> =
+        scored.iter().filter(|scored| Some(&scored.server.name) != affine).collect();
+    let key = seed.to_string();
+    rest.sort_by_cached_key(|scored| {
+        let random = weight(scored.server.name.as_str(), &key) as f64 / u64::MAX as f64;
+        // An exponential draw with a mean that grows with the cost: the least one wins.
+        let mean = 0.05 + scored.cost.as_secs_f64();
+        ((-random.max(1e-12).ln() * mean) * 1e6) as u64
+    });
+    drawn.extend(rest.into_iter().take(2));
+    drawn
+}
+
+/// Returns the extra cost of a kind of server for a class.
+fn kind_cost(class: &Class, kind: ServerKind) -> Duration {
+    let careful = class.tier.0 == 0 || class.repeatability == Repeatability::NonIdempotent;
+    match (careful, kind) {
+        (true, ServerKind::Reclaimable) => RECLAIMABLE,
+        (false, ServerKind::Standard) => OTHER_KIND,
+        _ => Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/src/home/queue.rs
@@ -0,0 +1,275 @@
+//! The order in which the waiting requests of one backend server are served and dropped.
+//!
+//! Tiers are strictly ordered, except for the promised shares: while requests of a class wait, the
+//! class earns credit for its share of all work served, and once its credit covers its next
+//! request, that one is served first. A share takes from the tiers above it only what was promised,
+//! so a class goes on under full load from above, and a higher tier loses nothing else to it. Each
+//! class has a small share even if the sheet promises none.
+
+use std::collections::BTreeMap;
+
+use tokio::time::Instant;
+
+use super::fair::{FairQueue, Waiting};
+use crate::config::model::TIERS;
+use crate::config::{Class, Tier};
+use crate::names::{ClassName, OrganisationName};
+
+/// Thousandths in a whole.
+const WHOLE: u64 = 1_000;
+/// Least share of a class, in thousandths.
+pub const MIN_SHARE: u64 = 10;
+/// Credit that a class can hold, as a multiple of the cost of the largest request.
+const MAX_CREDIT_REQUESTS: u64 = 2;
+
+/// Why a waiting request was removed without a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Dropped {
+    /// The queue is full, and this was the latest of the lowest.
+    Full,
+    /// The queue is full, and a request of a higher tier took the place.
+    Displaced,
+    /// Its deadline passed or can't be met.
+    TooLate,
+}
+
+/// Bounds of a queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueSettings {
+    /// Requests that may wait.
+    pub max_waiting: usize,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        Self { max_waiting: 256 }
+    }
+}
+
+/// The waiting requests of one class with its credit.
+#[derive(Debug)]
+struct ClassQueue {
+    share: u64,
+    /// Work earned, in thousandths of a token.
+    credit: u64,
+    requests: FairQueue,
+}
+
+/// The position of a class in the strict order.
+type Rank = (Tier, ClassName);
+
+/// The waiting requests of one backend server.
+#[derive(Debug, Default)]
+pub struct Queue {
+    settings: QueueSettings,
+    classes: BTreeMap<Rank, ClassQueue>,
+    ranks: BTreeMap<ClassName, Rank>,
+    largest: u64,
+}
+
+impl Queue {
+    /// Makes an empty queue.
+    pub fn new(settings: QueueSettings) -> Self {
+        Self { settings, ..Self::default() }
+    }
+
+    /// Takes over the classes in force; waiting requests keep their places.
+    pub fn set_classes<'a>(&mut self, classes: impl Iterator<Item = &'a Class>) {
+        let mut old = std::mem::take(&mut self.classes);
+        self.ranks.clear();
+        for class in classes {
+            let rank = (class.tier, class.name.clone());
+            let known = old.keys().find(|(_, name)| *name == class.name).cloned();
+            let mut queue =
+                known.and_then(|rank| old.remove(&rank)).unwrap_or_else(ClassQueue::new);
+            queue.share = u64::from(class.promised_share).max(MIN_SHARE);
+            self.ranks.insert(class.name.clone(), rank.clone());
+            self.classes.insert(rank, queue);
+        }
+        for (rank, queue) in old.into_iter().filter(|(_, queue)| !queue.requests.is_empty()) {
+            self.ranks.insert(rank.1.clone(), rank.clone());
+            self.classes.insert(rank, queue);
+        }
+        self.limit_shares();
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.classes.values().map(|class| class.requests.len()).sum()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.classes.values().all(|class| class.requests.is_empty())
+    }
+
+    /// Returns how many requests of an organisation wait.
+    pub fn waiting_of(&self, organisation: &OrganisationName) -> usize {
+        self.classes.values().map(|class| class.requests.waiting_of(organisation)).sum()
+    }
+
+    /// Returns how many requests of a class wait.
+    pub fn waiting_in(&self, class: &ClassName) -> usize {
+        self.classes.get(&self.rank(class)).map_or(0, |class| class.requests.len())
+    }
+
+    /// Returns the tier of a class; an unknown class is of the lowest.
+    pub fn tier(&self, class: &ClassName) -> Tier {
+        self.ranks.get(class).map_or(Tier(TIERS as u8 - 1), |(tier, _)| *tier)
+    }
+
+    /// Adds a request; returns the request that was dropped for it, which may be itself.
+    pub fn push(&mut self, request: Waiting, weight: u32) -> Option<(Waiting, Dropped)> {
+        let rank = self.rank(&request.class);
+        let tier = rank.0;
+        let id = request.id;
+        self.largest = self.largest.max(request.cost);
+        self.classes.entry(rank).or_insert_with(ClassQueue::new).requests.push(request, weight);
+        if self.len() <= self.settings.max_waiting {
+            return None;
+        }
+        let (dropped_tier, dropped) = self.drop_lowest()?;
+        let higher = dropped.id != id && tier < dropped_tier;
+        Some((dropped, if higher { Dropped::Displaced } else { Dropped::Full }))
+    }
+
+    /// Returns the request that is served next.
+    pub fn peek(&self) -> Option<&Waiting> {
+        self.next_rank().and_then(|rank| self.classes[rank].requests.peek())
+    }
+
+    /// Takes the request that is served next.
+    pub fn pop(&mut self) -> Option<Waiting> {
+        let rank = self.next_rank()?.clone();
+        let cost = self.classes.get(&rank)?.requests.peek()?.cost;
+        self.earn(cost);
+        let class = self.classes.get_mut(&rank)?;
+        class.credit = class.credit.saturating_sub(cost * WHOLE);
+        class.requests.pop()
+    }
+
+    /// Removes a request, such as one whose caller went away.
+    pub fn remove(&mut self, id: u64) -> Option<Waiting> {
+        self.classes.values_mut().find_map(|class| class.requests.remove(id))
+    }
+
+    /// Removes all requests whose deadline is before an instant.
+    pub fn remove_late(&mut self, at: Instant) -> Vec<Waiting> {
+        let late: Vec<u64> = self
+            .classes
+            .values()
+            .flat_map(|class| class.requests.iter())
+            .filter(|request| request.deadline.is_some_and(|deadline| deadline < at))
+            .map(|request| request.id)
+            .collect();
+        late.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// Removes all requests.
+    pub fn clear(&mut self) -> Vec<Waiting> {
+        let ids: Vec<u64> =
+            self.classes.values().flat_map(|class| class.requests.iter()).map(|r| r.id).collect();
+        ids.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// Corrects the charge of a request that ended.
+    pub fn settle(
+        &mut self,
+        class: &ClassName,
+        organisation: &OrganisationName,
+        charged: u64,
+        actual: u64,
+    ) {
+        if let Some(class) = self.ranks.get(class).and_then(|rank| self.classes.get_mut(rank)) {
+            class.requests.settle(organisation, charged, actual);
+        }
+    }
+
+    /// Returns the cost in tokens that is served before a new request would be.
+    ///
+    /// It is the lesser of the work ahead in the strict order and the work that passes until the
+    /// promised share of the class reaches the request.
+    pub fn cost_ahead(
+        &self,
+        class: &ClassName,
+        organisation: &OrganisationName,
+        cost: u64,
+        weight: u32,
+    ) -> u64 {
+        let rank = self.rank(class);
+        let higher: u64 = self
+            .classes
+            .iter()
+            .filter(|((tier, _), _)| *tier < rank.0)
+            .map(|(_, class)| class.requests.cost())
+            .sum();
+        let Some(class) = self.classes.get(&rank) else { return higher };
+        let own = class.requests.cost_ahead(organisation, cost, weight);
+        let by_share =
+            ((own + cost) * WHOLE).saturating_sub(class.credit) / class.share.max(MIN_SHARE);
+        (higher + own).min(by_share)
+    }
+
+    /// Returns the cost in tokens of all waiting requests.
+    pub fn cost(&self) -> u64 {
+        self.classes.values().map(|class| class.requests.cost()).sum()
+    }
+
+    fn rank(&self, class: &ClassName) -> Rank {
+        self.ranks.get(class).cloned().unwrap_or_else(|| (self.tier(class), class.clone()))
+    }
+
+    /// Returns the highest class whose credit covers its next request, else the highest class.
+    fn next_rank(&self) -> Option<&Rank> {
+        let due = self.classes.iter().find(|(_, class)| class.is_due()).map(|(rank, _)| rank);
+        due.or_else(|| self.highest())
+    }
+
+    /// Returns the class of the highest tier with waiting requests; within it the oldest request's.
+    fn highest(&self) -> Option<&Rank> {
+        let oldest = |class: &ClassQueue| class.requests.peek().map(|request| request.id);
+        self.classes
+            .iter()
+            .filter(|(_, class)| !class.requests.is_empty())
+            .min_by_key(|((tier, _), class)| (*tier, oldest(class)))
+            .map(|(rank, _)| rank)
+    }
+
+    /// Gives each class with waiting requests its share of an amount of work.
+    fn earn(&mut self, cost: u64) {
+        let most = self.largest * MAX_CREDIT_REQUESTS * WHOLE;
+        for class in self.classes.values_mut().filter(|class| !class.requests.is_empty()) {
+            class.credit = (class.credit + cost * class.share).min(most);
+        }
+    }
+
+    /// Drops the latest request of the lowest class that holds more than its reserved places.
+    fn drop_lowest(&mut self) -> Option<(Tier, Waiting)> {
+        let max_waiting = self.settings.max_waiting as u64;
+        let (rank, class) = self.classes.iter_mut().rev().find(|(_, class)| {
+            let reserved = (max_waiting * class.share / WHOLE).max(1);
+            class.requests.len() as u64 > reserved
+        })?;
+        Some((rank.0, class.requests.remove_latest()?))
+    }
+
+    /// Scales the shares down if the sheet promises more than the whole.
+    fn limit_shares(&mut self) {
+        let sum: u64 = self.classes.values().map(|class| class.share).sum();
+        if sum > WHOLE {
+            for class in self.classes.values_mut() {
+                class.share = (class.share * WHOLE / sum).max(1);
+            }
+        }
+    }
+}
+
+impl ClassQueue {
+    fn new() -> Self {
+        Self { share: MIN_SHARE, credit: 0, requests: FairQueue::default() }
+    }
+
+    fn is_due(&self) -> bool {
+        self.requests.peek().is_some_and(|request| self.credit >= request.cost * WHOLE)
+    }
+}
--- /dev/null
+++ b/src/home/service.rs
@@ -0,0 +1,233 @@
+//! The gRPC service that other instances ask for slots.
+
+use std::pin::Pin;
+use std::time::Duration;
+
+use futures::Stream;
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Request, Response, Status, Streaming};
+
+use super::admission::{Arrival, Decision};
+use super::client::{Ending, Figures};
+use super::homes::Homes;
+use super::task::{Asker, Message, QueueHandle};
+use crate::peer::generated::v1::admit_reply::Message as Reply;
+use crate::peer::generated::v1::admit_request::Message as Ask;
+use crate::peer::generated::v1::home_server::{Home, HomeServer};
+use crate::peer::generated::v1::refused::Reason;
+use crate::peer::generated::v1::{
+    AdmitReply, AdmitRequest, Enqueue, Finish, FinishKind, Granted, InFlightReply, InFlightRequest,
+    Progress, Queued, Refused, ReportUseReply, ReportUseRequest,
+};
+use crate::peer::pool::MAX_MESSAGE;
+
+/// How long the first message of a call may take.
+const ENQUEUE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Period of messages that tell a waiting caller that its request is still queued.
+pub const QUEUED_PERIOD: Duration = Duration::from_secs(1);
+/// Replies that may wait to be sent on one call.
+const REPLIES: usize = 4;
+
+/// Makes the service.
+pub fn service(homes: Homes) -> HomeServer<HomeService> {
+    HomeServer::new(HomeService { homes })
+        .max_decoding_message_size(MAX_MESSAGE)
+        .max_encoding_message_size(MAX_MESSAGE)
+}
+
+/// The service that admits requests to the backend servers of this instance.
+#[derive(Clone)]
+pub struct HomeService {
+    homes: Homes,
+}
+
+type Replies = mpsc::Sender<Result<AdmitReply, Status>>;
+
+#[tonic::async_trait]
+impl Home for HomeService {
+    type AdmitStream = Pin<Box<dyn Stream<Item = Result<AdmitReply, Status>> + Send>>;
+
+    async fn admit(
+        &self,
+        req: Request<Streaming<AdmitRequest>>,
+    ) -> Result<Response<Self::AdmitStream>, Status> {
+        let (tx, rx) = mpsc::channel(REPLIES);
+        tokio::spawn(serve(self.homes.clone(), req.into_inner(), tx));
+        Ok(Response::new(Box::pin(ReceiverStream::new(rx))))
+    }
+
+    async fn in_flight(
+        &self,
+        req: Request<InFlightRequest>,
+    ) -> Result<Response<InFlightReply>, Status> {
+        let server = req.into_inner().backend_server;
+        Ok(Response::new(self.homes.in_flight(&server).await))
+    }
+
+    async fn report_use(
+        &self,
+        _req: Request<ReportUseRequest>,
+    ) -> Result<Response<ReportUseReply>, Status> {
+        Err(Status::unimplemented("limits of organisations"))
+    }
+}
+
+/// Serves one call from the first message to the end of the request.
+async fn serve(homes: Homes, mut asks: Streaming<AdmitRequest>, tx: Replies) {
+    let first = tokio::time::timeout(ENQUEUE_TIMEOUT, asks.message()).await;
+    let Ok(Ok(Some(AdmitRequest { message: Some(Ask::Enqueue(enqueue)) }))) = first else {
+        // The caller is gone or broke the protocol; either way it learns that the call failed.
+        let _ = tx.send(Err(Status::invalid_argument("the first message must enqueue"))).await;
+        return;
+    };
+    let Some(queue) = homes.queue(&enqueue.backend_server) else {
+        let _ = tx.send(Ok(refused(Reason::NotHome, Duration::ZERO))).await;
+        return;
+    };
+    let Some((id, decision)) = send_enqueue(&queue, enqueue).await else {
+        let _ = tx.send(Ok(refused(Reason::NotHome, Duration::ZERO))).await;
+        return;
+    };
+    let Some(decision) = wait(&queue, id, decision, &mut asks, &tx).await else { return };
+    match decision {
+        Decision::Refused { reason, wait, .. } => {
+            let _ = tx.send(Ok(refused(reason, wait))).await;
+        }
+        Decision::Granted { id, cold } => {
+            let granted = Granted { permit: id, cold, ..Granted::default() };
+            let reply = AdmitReply { message: Some(Reply::Granted(granted)) };
+            // A caller that is gone ends the stream of messages too, which `follow` sees.
+            let _ = tx.send(Ok(reply)).await;
+            follow(&queue, id, &mut asks).await;
+        }
+    }
+}
+
+/// Puts the request in the queue; returns its number and the receiver of the decision.
+async fn send_enqueue(
+    queue: &QueueHandle,
+    enqueue: Enqueue,
+) -> Option<(u64, oneshot::Receiver<Decision>)> {
+    let (number_tx, number) = oneshot::channel();
+    let (decision_tx, decision) = oneshot::channel();
+    let asker = Asker { request: enqueue.request.as_str().into(), entry: enqueue.entry.clone() };
+    let message = Message::Enqueue {
+        asker,
+        arrival: arrival(&enqueue),
+        number: number_tx,
+        decision: decision_tx,
+    };
+    queue.tx.send(message).await.ok()?;
+    Some((number.await.ok()?, decision))
+}
+
+/// Waits for the decision; tells the caller now and then that its request is still queued.
+///
+/// Returns nothing if the caller goes away.
+async fn wait(
+    queue: &QueueHandle,
+    id: u64,
+    mut decision: oneshot::Receiver<Decision>,
+    asks: &mut Streaming<AdmitRequest>,
+    tx: &Replies,
+) -> Option<Decision> {
+    let mut ticks = tokio::time::interval(QUEUED_PERIOD);
+    ticks.reset();
+    loop {
+        tokio::select! {
+            decision = &mut decision => {
+                let retired =
+                    Decision::Refused { id, reason: Reason::NotHome, wait: Duration::ZERO };
+                return Some(decision.unwrap_or(retired));
+            }
+            _ = asks.message() => {
+                // Any message or end before the decision means that the caller gave up.
+                let _ = queue.tx.send(Message::Lost(id)).await;
+                return None;
+            }
+            _ = ticks.tick() => {
+                let load = queue.load.borrow().clone();
+                let queued = Queued { position: load.waiting, wait_ms: load.wait_ms };
+                let reply = AdmitReply { message: Some(Reply::Queued(queued)) };
+                // A full channel means that the caller reads slowly and needs no sign of life.
+                let _ = tx.try_send(Ok(reply));
+            }
+        }
+    }
+}
+
+/// Passes the messages of a running request on to the queue until it ends.
+async fn follow(queue: &QueueHandle, id: u64, asks: &mut Streaming<AdmitRequest>) {
+    loop {
+        let message = match asks.message().await {
+            Ok(Some(AdmitRequest { message: Some(Ask::Progress(progress)) })) => {
+                Message::Progress(id, progress_figures(&progress))
+            }
+            Ok(Some(AdmitRequest { message: Some(Ask::Finish(finish)) })) => {
+                let message = Message::Finish(id, ending(&finish), finish_figures(&finish));
+                // If the task has ended, its slots have ended with it.
+                let _ = queue.tx.send(message).await;
+                return;
+            }
+            _ => {
+                let _ = queue.tx.send(Message::Lost(id)).await;
+                return;
+            }
+        };
+        if queue.tx.send(message).await.is_err() {
+            return;
+        }
+    }
+}
+
+fn arrival(enqueue: &Enqueue) -> Arrival {
+    let bound = |ms: u32| (ms > 0).then(|| Duration::from_millis(ms.into()));
+    Arrival {
+        id: 0,
+        class: enqueue.class.as_str().into(),
+        organisation: enqueue.organisation.as_str().into(),
+        prompt_tokens: enqueue.prompt_tokens,
+        estimated_tokens: enqueue.estimated_tokens,
+        deadline: bound(enqueue.deadline_ms),
+        wait_bound: bound(enqueue.wait_bound_ms),
+        repeatable: enqueue.repeatable,
+    }
+}
+
+fn refused(reason: Reason, wait: Duration) -> AdmitReply {
+    let ms = wait.as_millis().min(u128::from(u32::MAX)) as u32;
+    let refused = Refused { reason: reason.into(), retry_after_ms: ms, wait_ms: ms };
+    AdmitReply { message: Some(Reply::Refused(refused)) }
+}
+
+fn ending(finish: &Finish) -> Ending {
+    match finish.kind() {
+        FinishKind::Complete => Ending::Complete,
+        FinishKind::Cancelled | FinishKind::Unspecified => Ending::Cancelled,
+        FinishKind::ServerFailed => Ending::ServerFailed,
+        FinishKind::NotSent => Ending::NotSent,
+        FinishKind::Overloaded => Ending::Overloaded,
+    }
+}
+
+fn finish_figures(finish: &Finish) -> Figures {
+    Figures {
+        prompt_tokens: finish.prompt_tokens,
+        output_tokens: finish.output_tokens,
+        first_token: positive(Duration::from_millis(finish.first_token_ms.into())),
+        token_gap: positive(Duration::from_micros(finish.token_gap_us.into())),
+    }
+}
+
+fn progress_figures(progress: &Progress) -> Figures {
+    Figures {
+        output_tokens: progress.output_tokens,
+        first_token: positive(Duration::from_millis(progress.first_token_ms.into())),
+        ..Figures::default()
+    }
+}
+
+fn positive(duration: Duration) -> Option<Duration> {
+    (!duration.is_zero()).then_some(duration)
+}
