--- /dev/null
+++ b/src/usage/tally.rs
@@ -0,0 +1,146 @@
+//! The tally of one instance: its records as totals per organisation, in numbered batches.
+
+use std::collections::BTreeMap;
+
+use super::sequences::SequenceSet;
+use crate::names::{InstanceName, OrganisationName};
+use crate::peer::generated::v1::UsageRecord;
+
+/// Entries of one organisation in one batch that a tally may hold before it must be sealed.
+///
+/// An entry takes less than 110 bytes, so that the object stays below a megabyte.
+pub const MAX_ENTRIES: usize = 8_000;
+
+/// What an organisation used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(from = "[u64; 3]", into = "[u64; 3]")]
+pub struct Figures {
+    /// Completed requests.
+    pub requests: u64,
+    /// Tokens of their prompts.
+    pub prompt_tokens: u64,
+    /// Tokens of their answers.
+    pub output_tokens: u64,
+}
+
+/// What organisations used.
+pub type FiguresByOrganisation = BTreeMap<OrganisationName, Figures>;
+
+impl From<[u64; 3]> for Figures {
+    fn from([requests, prompt_tokens, output_tokens]: [u64; 3]) -> Self {
+        Self { requests, prompt_tokens, output_tokens }
+    }
+}
+
+impl From<Figures> for [u64; 3] {
+    fn from(figures: Figures) -> Self {
+        [figures.requests, figures.prompt_tokens, figures.output_tokens]
+    }
+}
+
+impl std::ops::AddAssign for Figures {
+    fn add_assign(&mut self, other: Self) {
+        self.requests = self.requests.saturating_add(other.requests);
+        self.prompt_tokens = self.prompt_tokens.saturating_add(other.prompt_tokens);
+        self.output_tokens = self.output_tokens.saturating_add(other.output_tokens);
+    }
+}
+
+impl From<&UsageRecord> for Figures {
+    fn from(record: &UsageRecord) -> Self {
+        Self {
+            requests: 1,
+            prompt_tokens: record.prompt_tokens,
+            output_tokens: record.output_tokens,
+        }
+    }
+}
+
+value! {
+    /// One process whose records are counted; a restarted instance is another one.
+    #[derive(PartialOrd, Ord)]
+    pub struct Owner {
+        /// The instance.
+        pub instance: InstanceName,
+        /// Random number chosen when the process started.
+        pub incarnation: u64,
+    }
+
+    /// Totals of the records that were added by one write.
+    pub struct Batch {
+        /// Position within the tally; positions only grow.
+        pub position: u64,
+        /// Totals per organisation.
+        pub totals: FiguresByOrganisation,
+    }
+}
+
+impl Owner {
+    /// Returns the name of the owner's tally object.
+    pub fn object_name(&self) -> String {
+        format!("{}-{:016x}", self.instance, self.incarnation)
+    }
+}
+
+/// The tally of one owner, as stored.
+#[derive(Debug, Clone, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Tally {
+    /// Records counted, so that a second writer adds none of them again.
+    pub taken: SequenceSet,
+    /// Position of the latest batch.
+    pub position: u64,
+    /// Batches not yet known to be sealed, oldest first.
+    pub batches: Vec<Batch>,
+}
+
+impl Tally {
+    /// Adds the records not counted yet as one batch; returns how many there were.
+    pub fn append<'a>(&mut self, records: impl Iterator<Item = &'a UsageRecord>) -> usize {
+        let mut totals = FiguresByOrganisation::new();
+        let mut added = 0;
+        for record in records {
+            if self.taken.insert(record.sequence) {
+                let name = OrganisationName::from(record.organisation.as_str());
+                *totals.entry(name).or_default() += Figures::from(record);
+                added += 1;
+            }
+        }
+        if added > 0 {
+            self.position += 1;
+            self.batches.push(Batch { position: self.position, totals });
+        }
+        added
+    }
+
+    /// Removes the batches up to a sealed position.
+    pub fn prune(&mut self, sealed: u64) {
+        self.batches.retain(|batch| batch.position > sealed);
+    }
+
+    /// Returns the tally without its batches.
+    #[must_use]
+    pub fn emptied(self) -> Self {
+        Self { batches: Vec::new(), ..self }
+    }
+
+    /// Returns whether no batch may be added before some are sealed.
+    pub fn is_full(&self) -> bool {
+        self.batches.iter().map(|batch| batch.totals.len()).sum::<usize>() >= MAX_ENTRIES
+    }
+
+    /// Returns the sum of the batches after a position.
+    pub fn totals_after(&self, sealed: u64) -> FiguresByOrganisation {
+        let mut sum = FiguresByOrganisation::new();
+        for batch in self.batches.iter().filter(|batch| batch.position > sealed) {
+            add_totals(&mut sum, &batch.totals);
+        }
+        sum
+    }
+}
+
+/// Adds totals to a sum.
+pub fn add_totals(sum: &mut FiguresByOrganisation, totals: &FiguresByOrganisation) {
+    for (organisation, figures) in totals {
+        *sum.entry(organisation.clone()).or_default() += *figures;
+    }
+}
--- /dev/null
+++ b/src/usage/writer.rs
@@ -0,0 +1,143 @@
+//! Writes records into tally objects so that each is counted once, whoever writes them.
+
+use std::collections::BTreeMap;
+
+use super::seal::{PROGRESS, Progress};
+use super::tally::{Owner, Tally};
+use crate::metrics::{Counter, Metrics};
+use crate::peer::generated::v1::UsageRecord;
+use crate::platform::{Object, Objects, PlatformError, StoreKind};
+
+/// Times that a write is tried again after another writer came first.
+const MAX_CONFLICTS: usize = 5;
+
+/// Batches of a tally above which the sealed ones are looked up and removed.
+const MIN_BATCHES_TO_PRUNE: usize = 4;
+
+/// Records by sequence number.
+pub type Records = BTreeMap<u64, UsageRecord>;
+
+/// Why records were not written; they may be tried again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AppendError {
+    /// The object API failed.
+    Platform(PlatformError),
+    /// The tally must be sealed first.
+    Full,
+    /// Other writers came first each time.
+    Contended,
+}
+
+impl std::fmt::Display for AppendError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Platform(error) => error.fmt(f),
+            Self::Full => f.write_str("the tally waits for a seal"),
+            Self::Contended => f.write_str("other writers of the tally came first"),
+        }
+    }
+}
+
+impl std::error::Error for AppendError {}
+
+/// Writes tallies.
+#[derive(Clone)]
+pub struct TallyWriter {
+    objects: Objects,
+    metrics: Metrics,
+}
+
+impl TallyWriter {
+    /// Makes a writer.
+    pub fn new(objects: Objects, metrics: Metrics) -> Self {
+        Self { objects, metrics }
+    }
+
+    /// Adds records to the owner's tally; returns the tally that holds them all.
+    ///
+    /// `known` is the tally as last written, if any; `sealed` is the position up to which its
+    /// batches are sealed and can be removed.
+    ///
+    /// # Errors
+    /// If the outcome is unknown or nothing was written; calling again is safe in each case.
+    pub async fn append(
+        &self,
+        owner: &Owner,
+        known: Option<Object<Tally>>,
+        records: &Records,
+        sealed: u64,
+    ) -> Result<Object<Tally>, AppendError> {
+        let name = owner.object_name();
+        let mut known = known;
+        let mut removed = None;
+        for _ in 0..MAX_CONFLICTS {
+            let current = match known.take() {
+                Some(object) => Some(object),
+                None => self.read(&name).await?,
+            };
+            let (version, mut tally) = match current {
+                Some(Object { version, spec, .. }) => (Some(version), spec),
+                None => (None, removed.take().unwrap_or_default()),
+            };
+            tally.prune(sealed);
+            let before = tally.clone();
+            let full = tally.is_full();
+            let added = tally.append(records.values());
+            if let (0, Some(version)) = (added, &version) {
+                return Ok(Object { name, version: version.clone(), spec: tally });
+            }
+            if full {
+                return Err(AppendError::Full);
+            }
+            match self.write(&name, version.as_deref(), &tally).await {
+                Ok(version) => return Ok(Object { name, version, spec: tally }),
+                Err(PlatformError::Conflict) => {}
+                // Only a tally whose batches are all sealed is removed; positions go on.
+                Err(PlatformError::NotFound) => removed = Some(before.emptied()),
+                Err(error) => return Err(AppendError::Platform(error)),
+            }
+        }
+        Err(AppendError::Contended)
+    }
+
+    /// Returns the position up to which the batches of a tally are sealed, if it has any.
+    pub async fn sealed_position(
+        &self,
+        owner: &Owner,
+        known: Option<&Object<Tally>>,
+    ) -> Option<u64> {
+        let removable = known.is_some_and(|tally| tally.spec.batches.len() > MIN_BATCHES_TO_PRUNE);
+        if !removable {
+            return None;
+        }
+        self.metrics.add(Counter::PlatformCalls, StoreKind::Seals.as_str(), 1);
+        let progress: Object<Progress> = self.objects.get(StoreKind::Seals, PROGRESS).await.ok()?;
+        progress.spec.marks.get(&owner.object_name()).copied()
+    }
+
+    async fn read(&self, name: &str) -> Result<Option<Object<Tally>>, AppendError> {
+        self.count();
+        match self.objects.get(StoreKind::Tallies, name).await {
+            Ok(object) => Ok(Some(object)),
+            Err(PlatformError::NotFound) => Ok(None),
+            Err(error) => Err(AppendError::Platform(error)),
+        }
+    }
+
+    async fn write(
+        &self,
+        name: &str,
+        version: Option<&str>,
+        tally: &Tally,
+    ) -> Result<String, PlatformError> {
+        self.count();
+        match version {
+            Some(version) => self.objects.update(StoreKind::Tallies, name, version, tally).await,
+            None => self.objects.create(StoreKind::Tallies, name, tally).await,
+        }
+    }
+
+    fn count(&self) {
+        self.metrics.add(Counter::PlatformCalls, StoreKind::Tallies.as_str(), 1);
+    }
+}
