--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod serve;
 pub mod timer;
 pub mod usage;
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -19,6 +19,7 @@
 use crate::clock::Hlc;
 use crate::context::Context;
 use crate::event::EventKind;
+use crate::home::Homes;
 use crate::metrics::Counter;
 use crate::names::InstanceName;
 use crate::platform::PlatformError;
@@ -73,14 +74,13 @@
 }
 
 impl Membership {
-    /// Starts the task; `own_loads` holds the load of the backend servers that this instance is
-    /// home of.
+    /// Starts the task; beats carry the load of the queues in `homes`.
     ///
     /// # Errors
     /// Fails if the HTTP client can't be built.
     pub fn start(
         cx: Context,
-        own_loads: watch::Receiver<Arc<Vec<ServerLoad>>>,
+        homes: Homes,
         outputs: Outputs,
     ) -> eyre::Result<Self> {
         let (tx, rx) = mpsc::channel(INBOX);
@@ -96,7 +96,7 @@
             platform_away: false,
             cx,
             http,
-            own_loads,
+            homes,
             outputs,
             tx: tx.clone(),
         };
@@ -138,7 +138,7 @@
 struct Task {
     cx: Context,
     http: reqwest::Client,
-    own_loads: watch::Receiver<Arc<Vec<ServerLoad>>>,
+    homes: Homes,
     outputs: Outputs,
     tx: mpsc::Sender<Message>,
     table: PresenceTable,
@@ -269,7 +269,7 @@
             marks_digest: reply.marks_digest,
             members_revision: reply.members_revision,
             draining: reply.draining,
-            loads: self.own_loads.borrow().to_vec(),
+            loads: self.homes.loads(),
             uses: Vec::new(),
             program_version: env!("CARGO_PKG_VERSION").to_owned(),
         }
@@ -391,8 +391,8 @@
             .iter()
             .map(|(name, (_, load))| (name.as_str().into(), load.clone()))
             .collect();
-        for load in self.own_loads.borrow().iter() {
-            loads.insert(load.backend_server.as_str().into(), load.clone());
+        for load in self.homes.loads() {
+            loads.insert(load.backend_server.as_str().into(), load);
         }
         self.outputs.loads.send_replace(Arc::new(loads));
     }
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -7,7 +7,7 @@
 pub mod membership;
 pub mod pool;
 pub mod presence;
-// pub mod service;
+pub mod service;
 pub mod timeline;
 
 pub use load::{Loads, LoadsWatch};
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -73,7 +73,7 @@
     ) -> Result<Response<FetchConfigReply>, Status> {
         let req = req.into_inner();
         let want_members = req.want_members;
-        let mut reply = self.config.fetch(req).await;
+        let mut reply = self.config.fetch(req);
         if want_members && let Some(list) = self.membership.current_list().await {
             reply.members_revision = list.revision;
             reply.members = serde_json::to_vec(&list)
@@ -92,8 +92,10 @@
         &self,
         req: Request<KeepUsageRequest>,
     ) -> Result<Response<KeepUsageReply>, Status> {
-        self.ledger.keep(req.into_inner()).await;
-        Ok(Response::new(KeepUsageReply {}))
+        match self.ledger.keep(req.into_inner()).await {
+            Ok(()) => Ok(Response::new(KeepUsageReply {})),
+            Err(full) => Err(Status::resource_exhausted(full.to_string())),
+        }
     }
 
     async fn timeline(
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -24,7 +24,7 @@
 use crate::platform::Objects;
 use crate::timer::Timer;
 use crate::usage::{self, Ledger};
-use crate::{admin, entry, orders};
+use crate::entry;
 
 /// Reports of peers' configuration that may wait to be compared.
 const HEARD_QUEUE: usize = 1_024;
@@ -89,9 +89,8 @@
     let claims = Claims::new(cx.clone());
     let (heard, heard_rx) = mpsc::channel(HEARD_QUEUE);
     let outputs = Outputs { members, loads, heard };
-    let membership = Membership::start(cx.clone(), homes.loads(), outputs)?;
+    let membership = Membership::start(cx.clone(), homes.clone(), outputs)?;
     tokio::spawn(compare_configs(heard_rx, config.clone()));
-    orders::start(cx.clone(), config.clone());
 
     let peers = PeerService {
         cx: cx.clone(),
@@ -100,8 +99,6 @@
         ledger: ledger.clone(),
     };
     let mut peers = tokio::spawn(serve_peers(sockets.peers, cx.clone(), peers, homes));
-    let admin = admin::serve(sockets.admin, cx.clone(), config);
-    let mut admin = tokio::spawn(admin);
     let admitter = Admitter::new(cx.clone());
     let entry = entry::serve(sockets.callers, cx.clone(), admitter, ledger.clone(), claims);
     let mut entry = tokio::spawn(entry);
@@ -110,7 +107,6 @@
     tokio::select! {
         () = stop => {}
         ended = &mut entry => ended??,
-        ended = &mut admin => ended??,
         ended = &mut peers => ended??,
     }
     drain(&cx, &draining, entry, &ledger).await
@@ -144,7 +140,7 @@
 /// Passes what beats say of peers' configuration on to the configuration task.
 async fn compare_configs(mut rx: mpsc::Receiver<Heard>, config: ConfigHandle) {
     while let Some(Heard { member, config_version, marks_digest }) = rx.recv().await {
-        config.heard(member, config_version, marks_digest);
+        config.heard(&member, config_version, marks_digest);
     }
 }
 
