Add the administration API and the sheet

Cause: operators drive the system from one CSV file and urgent orders. Every problem of a sheet is named with row, column, value and reason in one pass; nothing is taken unless all of it is sound. Not tested yet.

--- /dev/null
+++ b/src/admin/auth.rs
@@ -0,0 +1,33 @@
+//! Checks the administration secret.
+
+use salvo::http::StatusCode;
+use salvo::http::header::AUTHORIZATION;
+use salvo::{Depot, FlowCtrl, Request, Response, handler};
+
+use super::reply::refuse;
+use crate::options::Secret;
+
+/// Refuses requests without `Authorization: Bearer SECRET`.
+pub struct RequireSecret(pub Secret);
+
+#[handler]
+impl RequireSecret {
+    async fn handle(
+        &self,
+        req: &mut Request,
+        _depot: &mut Depot,
+        res: &mut Response,
+        ctrl: &mut FlowCtrl,
+    ) {
+        let given = req
+            .headers()
+            .get(AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "));
+        if !given.is_some_and(|given| self.0.matches(given.trim())) {
+            let message = "the administration secret is missing or wrong";
+            refuse(res, StatusCode::UNAUTHORIZED, "unauthorized", message);
+            ctrl.skip_rest();
+        }
+    }
+}
--- /dev/null
+++ b/src/admin/health.rs
@@ -0,0 +1,38 @@
+//! Readiness and metrics, which need no secret.
+
+use salvo::http::StatusCode;
+use salvo::writing::Text;
+use salvo::{Response, handler};
+use serde_json::json;
+
+use super::Admin;
+use super::reply::{answer, refuse};
+
+/// Says whether callers may be sent to this instance.
+pub struct Ready(pub Admin);
+
+#[handler]
+impl Ready {
+    async fn handle(&self, res: &mut Response) {
+        let cx = &self.0.cx;
+        let version = cx.in_force.borrow().config.version;
+        let unavailable = StatusCode::SERVICE_UNAVAILABLE;
+        if *cx.draining.borrow() {
+            refuse(res, unavailable, "draining", "the instance is shutting down");
+        } else if version == 0 {
+            refuse(res, unavailable, "no_configuration", "no configuration is in force yet");
+        } else {
+            answer(res, StatusCode::OK, json!({ "ready": true, "version": version }));
+        }
+    }
+}
+
+/// Writes the metrics.
+pub struct ShowMetrics(pub Admin);
+
+#[handler]
+impl ShowMetrics {
+    async fn handle(&self, res: &mut Response) {
+        res.render(Text::Plain(self.0.cx.metrics.render()));
+    }
+}
--- /dev/null
+++ b/src/admin/reply.rs
@@ -0,0 +1,41 @@
+//! Answers of the administration API in JSON.
+
+use salvo::Response;
+use salvo::http::StatusCode;
+use salvo::writing::Json;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::config::ApplyError;
+
+/// Answers with a value.
+pub fn answer<T: Serialize + Send>(res: &mut Response, status: StatusCode, value: T) {
+    res.status_code(status);
+    res.render(Json(value));
+}
+
+/// Answers with an error code and a text for people.
+pub fn refuse(res: &mut Response, status: StatusCode, code: &str, message: &str) {
+    answer(res, status, json!({ "error": { "code": code, "message": message } }));
+}
+
+/// Answers that a name is unknown.
+pub fn refuse_unknown(res: &mut Response, kind: &str, name: &str) {
+    refuse(res, StatusCode::NOT_FOUND, "not_found", &format!("there is no {kind} \"{name}\""));
+}
+
+/// Answers that an edit was not accepted.
+pub fn refuse_edit(res: &mut Response, error: &ApplyError) {
+    let (status, code) = match error {
+        ApplyError::Conflict { .. } => (StatusCode::CONFLICT, "conflict"),
+        ApplyError::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "too_large"),
+        ApplyError::UnknownName(_) => (StatusCode::NOT_FOUND, "not_found"),
+        ApplyError::Unavailable(_) => (StatusCode::SERVICE_UNAVAILABLE, "unavailable"),
+        ApplyError::Unknown(_) => (StatusCode::GATEWAY_TIMEOUT, "outcome_unknown"),
+    };
+    let mut body = json!({ "error": { "code": code, "message": error.to_string() } });
+    if let ApplyError::Conflict { in_force } = error {
+        body["error"]["version"] = (*in_force).into();
+    }
+    answer(res, status, body);
+}
--- /dev/null
+++ b/src/admin/sheets.rs
@@ -0,0 +1,109 @@
+//! Checks, accepts and exports the sheet.
+
+use salvo::http::StatusCode;
+use salvo::http::header::CONTENT_TYPE;
+use salvo::{Request, Response, Router, handler};
+use serde_json::{Value, json};
+
+use super::Admin;
+use super::reply::{answer, refuse, refuse_edit};
+use crate::config::{Config, InForce};
+use crate::sheet;
+
+/// Largest sheet in bytes.
+const MAX_SHEET: usize = 32 << 20;
+
+/// Builds the routes below `/sheet`.
+pub fn router(admin: &Admin) -> Router {
+    Router::with_path("sheet")
+        .get(ExportSheet(admin.clone()))
+        .push(Router::with_path("check").post(CheckSheet(admin.clone())))
+        .push(Router::with_path("apply").post(ApplySheet(admin.clone())))
+}
+
+/// Shows what a sheet would change.
+struct CheckSheet(Admin);
+
+#[handler]
+impl CheckSheet {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let Some(config) = read_sheet(req, res).await else { return };
+        let in_force = self.0.cx.in_force.borrow().clone();
+        answer(res, StatusCode::OK, show_differences(&in_force, &config));
+    }
+}
+
+/// Accepts a sheet.
+struct ApplySheet(Admin);
+
+#[handler]
+impl ApplySheet {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let based_on = match req.query::<String>("based-on").map(|text| text.parse::<u64>()) {
+            None => None,
+            Some(Ok(version)) => Some(version),
+            Some(Err(_)) => {
+                let message = "based-on must be a version number";
+                return refuse(res, StatusCode::BAD_REQUEST, "bad_request", message);
+            }
+        };
+        let Some(config) = read_sheet(req, res).await else { return };
+        let in_force = self.0.cx.in_force.borrow().clone();
+        let based_on = based_on.unwrap_or(in_force.config.version);
+        let mut body = show_differences(&in_force, &config);
+        match self.0.config.apply(config, based_on).await {
+            Ok(accepted) => {
+                body["version"] = accepted.version.into();
+                body["changed"] = accepted.changed.into();
+                answer(res, StatusCode::OK, body);
+            }
+            Err(error) => refuse_edit(res, &error),
+        }
+    }
+}
+
+/// Writes what is in force as a sheet.
+struct ExportSheet(Admin);
+
+#[handler]
+impl ExportSheet {
+    async fn handle(&self, res: &mut Response) {
+        let config = self.0.cx.in_force.borrow().effective();
+        let header = salvo::http::HeaderValue::from_static("text/csv; charset=utf-8");
+        res.headers_mut().insert(CONTENT_TYPE, header);
+        res.headers_mut().insert("x-config-version", config.version.into());
+        // The result says only whether the body was replaced before.
+        let _ = res.write_body(sheet::export(&config));
+    }
+}
+
+/// Reads and parses the body; answers with the problems if it can't be used.
+async fn read_sheet(req: &mut Request, res: &mut Response) -> Option<Config> {
+    let bytes = match req.payload_with_max_size(MAX_SHEET).await {
+        Ok(bytes) => bytes.clone(),
+        Err(error) => {
+            refuse(res, StatusCode::PAYLOAD_TOO_LARGE, "too_large", &error.to_string());
+            return None;
+        }
+    };
+    let parsed = tokio::task::spawn_blocking(move || sheet::parse(&bytes)).await;
+    match parsed {
+        Ok(Ok(config)) => Some(config),
+        Ok(Err(problems)) => {
+            let message =
+                format!("the sheet has {} problem(s); nothing was changed", problems.len());
+            let error = json!({ "code": "bad_sheet", "message": message, "problems": problems });
+            answer(res, StatusCode::UNPROCESSABLE_ENTITY, json!({ "error": error }));
+            None
+        }
+        Err(error) => {
+            refuse(res, StatusCode::INTERNAL_SERVER_ERROR, "internal", &error.to_string());
+            None
+        }
+    }
+}
+
+fn show_differences(in_force: &InForce, config: &Config) -> Value {
+    let differences = sheet::diff(&in_force.effective(), config);
+    json!({ "based_on": in_force.config.version, "differences": differences })
+}
--- /dev/null
+++ b/src/admin/timeline.rs
@@ -0,0 +1,73 @@
+//! Shows recorded events in one order.
+
+use salvo::http::StatusCode;
+use salvo::{Request, Response, handler};
+use serde_json::{Value, json};
+
+use super::Admin;
+use super::reply::{answer, refuse};
+use crate::clock::Hlc;
+use crate::event::{Event, EventKind, MAX_EVENTS};
+
+/// Shows the events that pass the filter of the query.
+pub struct ShowTimeline(pub Admin);
+
+/// Filter of the time line, as given in the query.
+#[derive(Default)]
+struct Filter {
+    request: Option<String>,
+    organisation: Option<String>,
+    backend_server: Option<String>,
+    kind: Option<EventKind>,
+}
+
+#[handler]
+impl ShowTimeline {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let filter = match Filter::read(req) {
+            Ok(filter) => filter,
+            Err(message) => {
+                return refuse(res, StatusCode::BAD_REQUEST, "bad_request", &message);
+            }
+        };
+        let since = Hlc(req.query("since").unwrap_or_default());
+        let mut events = (self.0.sources.events)(since, MAX_EVENTS).await;
+        events.retain(|event| filter.matches(event));
+        events.sort_by(|a, b| (a.at, &a.instance).cmp(&(b.at, &b.instance)));
+        answer(res, StatusCode::OK, json!({ "events": events }));
+    }
+}
+
+impl Filter {
+    fn read(req: &Request) -> Result<Self, String> {
+        let kind = match req.query::<String>("kind") {
+            Some(text) => Some(parse_kind(text)?),
+            None => None,
+        };
+        Ok(Self {
+            request: req.query("request"),
+            organisation: req.query("organisation"),
+            backend_server: req.query("backend-server"),
+            kind,
+        })
+    }
+
+    fn matches(&self, event: &Event) -> bool {
+        let request = event.request.as_ref().map(|name| name.as_str());
+        let organisation = event.organisation.as_ref().map(|name| name.as_str());
+        let server = event.backend_server.as_ref().map(|name| name.as_str());
+        passes(self.request.as_deref(), request)
+            && passes(self.organisation.as_deref(), organisation)
+            && passes(self.backend_server.as_deref(), server)
+            && self.kind.is_none_or(|kind| kind == event.kind)
+    }
+}
+
+fn passes(wanted: Option<&str>, found: Option<&str>) -> bool {
+    wanted.is_none() || wanted == found
+}
+
+fn parse_kind(text: String) -> Result<EventKind, String> {
+    let message = format!("there is no kind of event \"{text}\"");
+    serde_json::from_value(Value::String(text)).map_err(|_| message)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #[macro_use]
 mod macros;
 
+pub mod admin;
 pub mod cli;
 pub mod clock;
 pub mod config;
@@ -18,5 +19,6 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod sheet;
 pub mod timer;
 pub mod usage;
--- /dev/null
+++ b/src/sheet/cell.rs
@@ -0,0 +1,129 @@
+//! Values of single cells: names, choices, lists and addresses.
+
+/// Longest name in characters.
+const MAX_NAME: usize = 63;
+/// Longest model name or path prefix in characters.
+const MAX_TEXT: usize = 200;
+/// Vowel-less and dot signs of Indic scripts, which belong to words but are not letters.
+const INDIC_SIGNS: [char; 16] = [
+    '\u{093C}', '\u{094D}', '\u{09BC}', '\u{09CD}', '\u{0A3C}', '\u{0A4D}', '\u{0ABC}', '\u{0ACD}',
+    '\u{0B3C}', '\u{0B4D}', '\u{0BCD}', '\u{0C4D}', '\u{0CBC}', '\u{0CCD}', '\u{0D4D}', '\u{0DCA}',
+];
+/// What spreadsheets put in a cell whose formula failed.
+const CELL_ERRORS: [&str; 7] = ["#REF!", "#N/A", "#NAME?", "#VALUE!", "#DIV/0!", "#NUM!", "#NULL!"];
+/// First characters that make a spreadsheet run a cell as a formula.
+const FORMULA_STARTS: [char; 6] = ['=', '+', '-', '@', '\t', '\r'];
+
+const NAME: &str = "use 1 to 63 letters, digits, '.', '_' or '-', starting with a letter or digit";
+const ASCII_NAME: &str = "use 1 to 63 letters from a to z, digits, '.', '_' or '-', starting with a letter or digit, since the name is part of addresses";
+const MODEL: &str = "use 1 to 200 printable characters without spaces";
+const PREFIX: &str = "use a path such as /bookings, without spaces, '?', '#', '%', '//' or '..'";
+const ADDRESS: &str =
+    "use an address such as http://10.0.0.7:8000, without a user, path, '?' or '#'";
+
+/// Checks a name that may use the letters of any script.
+///
+/// # Errors
+/// Says what is allowed.
+pub fn check_name(text: &str) -> Result<(), &'static str> {
+    let is_letter = |c: char| c.is_alphanumeric() || INDIC_SIGNS.contains(&c);
+    let valid = text.chars().count() <= MAX_NAME
+        && text.starts_with(char::is_alphanumeric)
+        && text.chars().all(|c| is_letter(c) || matches!(c, '.' | '_' | '-'));
+    if valid { Ok(()) } else { Err(NAME) }
+}
+
+/// Checks a name that becomes part of addresses and headers.
+///
+/// # Errors
+/// Says what is allowed.
+pub fn check_ascii_name(text: &str) -> Result<(), &'static str> {
+    if text.is_ascii() && check_name(text).is_ok() { Ok(()) } else { Err(ASCII_NAME) }
+}
+
+/// Checks the name of a model.
+///
+/// # Errors
+/// Says what is allowed.
+pub fn check_model(text: &str) -> Result<(), &'static str> {
+    let printable = text.chars().all(|c| !c.is_whitespace() && !c.is_control());
+    if printable && (1..=MAX_TEXT).contains(&text.chars().count()) { Ok(()) } else { Err(MODEL) }
+}
+
+/// Checks a path prefix.
+///
+/// # Errors
+/// Says what is allowed.
+pub fn check_prefix(text: &str) -> Result<(), &'static str> {
+    let forbidden = |c: char| c.is_whitespace() || c.is_control() || "?#%\\".contains(c);
+    let valid = text.starts_with('/')
+        && text.len() <= MAX_TEXT
+        && !text.contains(forbidden)
+        && !text.contains("//")
+        && !text.split('/').any(|segment| segment == ".." || segment == ".");
+    if valid { Ok(()) } else { Err(PREFIX) }
+}
+
+/// Checks the base URL of a backend server.
+///
+/// # Errors
+/// Says what is allowed.
+pub fn check_address(text: &str) -> Result<(), &'static str> {
+    let url = reqwest::Url::parse(text).map_err(|_| ADDRESS)?;
+    let plain = url.username().is_empty()
+        && url.password().is_none()
+        && url.query().is_none()
+        && url.fragment().is_none()
+        && url.path() == "/";
+    if url.scheme() == "http" && url.has_host() && plain { Ok(()) } else { Err(ADDRESS) }
+}
+
+/// Reads yes or no.
+///
+/// # Errors
+/// Says what is allowed.
+pub fn parse_yes_no(text: &str) -> Result<bool, &'static str> {
+    match text.to_lowercase().as_str() {
+        "yes" | "true" | "1" => Ok(true),
+        "no" | "false" | "0" => Ok(false),
+        _ => Err("use yes or no"),
+    }
+}
+
+/// Writes yes or no.
+pub fn show_yes_no(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
+
+/// Splits a list of names; spaces, line breaks, commas, semicolons and bars separate them.
+pub fn split_list(text: &str) -> impl Iterator<Item = &str> {
+    text.split(|c: char| c.is_whitespace() || ",;|".contains(c)).filter(|item| !item.is_empty())
+}
+
+/// Returns why a cell can't hold any value, such as a formula that failed.
+pub fn spreadsheet_fault(text: &str) -> Option<&'static str> {
+    if CELL_ERRORS.contains(&text) {
+        return Some("an error of the spreadsheet; mend the formula");
+    }
+    if text.starts_with('=') {
+        return Some("a formula; export its value");
+    }
+    text.contains('\0').then_some("holds a character that is not text")
+}
+
+/// Writes a text so that no spreadsheet runs it as a formula.
+pub fn guard(text: &str) -> String {
+    if text.starts_with(FORMULA_STARTS) || text.starts_with('\'') {
+        format!("'{text}")
+    } else {
+        text.to_owned()
+    }
+}
+
+/// Removes the mark that [`guard`] put before a text.
+pub fn unguard(text: &str) -> &str {
+    match text.strip_prefix('\'') {
+        Some(rest) if rest.starts_with(FORMULA_STARTS) || rest.starts_with('\'') => rest,
+        _ => text,
+    }
+}
--- /dev/null
+++ b/src/sheet/diff.rs
@@ -0,0 +1,76 @@
+//! The differences between two configurations, in the words of the sheet.
+
+use super::columns::{Column, Table};
+use super::values::{Cells, rows};
+use crate::config::Config;
+
+value! {
+    /// One difference between two configurations.
+    pub struct Difference {
+        /// The table.
+        pub table: Table,
+        /// Name of the record.
+        pub name: String,
+        /// What differs.
+        pub change: Change,
+    }
+
+    /// What differs in one record.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Change {
+        /// Only the new configuration has it.
+        Added,
+        /// Only the old configuration has it.
+        Removed,
+        /// A value differs.
+        Changed {
+            /// The column.
+            column: Column,
+            /// The old value.
+            from: String,
+            /// The new value.
+            to: String,
+        },
+    }
+}
+
+impl std::fmt::Display for Difference {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let (table, name) = (self.table.as_str(), &self.name);
+        match &self.change {
+            Change::Added => write!(f, "{table} {name}: added"),
+            Change::Removed => write!(f, "{table} {name}: removed"),
+            Change::Changed { column, from, to } => {
+                write!(f, "{table} {name}: {} from \"{from}\" to \"{to}\"", column.as_str())
+            }
+        }
+    }
+}
+
+/// Returns what a new configuration changes; keys and versions are not compared.
+pub fn diff(old: &Config, new: &Config) -> Vec<Difference> {
+    let (old, new) = (rows(old), rows(new));
+    let mut differences = Vec::new();
+    for ((table, name), cells) in &new {
+        let change = |change| Difference { table: *table, name: name.clone(), change };
+        match old.get(&(*table, name.clone())) {
+            None => differences.push(change(Change::Added)),
+            Some(before) => differences.extend(changed_cells(before, cells).map(change)),
+        }
+    }
+    for (table, name) in old.keys().filter(|key| !new.contains_key(*key)) {
+        let change = Change::Removed;
+        differences.push(Difference { table: *table, name: name.clone(), change });
+    }
+    differences
+}
+
+fn changed_cells<'a>(old: &'a Cells, new: &'a Cells) -> impl Iterator<Item = Change> + 'a {
+    let columns: std::collections::BTreeSet<Column> =
+        old.keys().chain(new.keys()).copied().collect();
+    columns.into_iter().filter_map(|column| {
+        let from = old.get(&column).cloned().unwrap_or_default();
+        let to = new.get(&column).cloned().unwrap_or_default();
+        (from != to).then_some(Change::Changed { column, from, to })
+    })
+}
--- /dev/null
+++ b/src/sheet/export.rs
@@ -0,0 +1,35 @@
+//! Writes a configuration as a sheet that reads back to the same configuration.
+
+use super::cell::guard;
+use super::columns::{COLUMNS, Column, Table};
+use super::values::{Cells, rows};
+use crate::config::Config;
+
+/// Byte order mark, by which spreadsheet programs know that the file is UTF-8.
+const BYTE_ORDER_MARK: &str = "\u{FEFF}";
+
+/// Writes a configuration without its keys.
+///
+/// Cells that a spreadsheet would run as a formula get an apostrophe, which reading removes.
+pub fn export(config: &Config) -> String {
+    let mut writer = csv::WriterBuilder::new()
+        .terminator(csv::Terminator::CRLF)
+        .from_writer(BYTE_ORDER_MARK.as_bytes().to_vec());
+    let header = COLUMNS.map(Column::as_str).map(str::to_owned).to_vec();
+    let body = rows(config).into_iter().map(|((table, _), cells)| record(table, &cells));
+    for row in std::iter::once(header).chain(body) {
+        writer.write_record(row).expect("rows of equal length can be written to memory");
+    }
+    let bytes = writer.into_inner().expect("memory can be flushed");
+    String::from_utf8(bytes).expect("text joined by ASCII separators is text")
+}
+
+fn record(table: Table, cells: &Cells) -> Vec<String> {
+    COLUMNS
+        .into_iter()
+        .map(|column| match column {
+            Column::Table => table.as_str().to_owned(),
+            _ => cells.get(&column).map(|cell| guard(cell)).unwrap_or_default(),
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/sheet/file.rs
@@ -0,0 +1,192 @@
+//! Reads the bytes of a sheet into rows of cells, whatever a spreadsheet program did to them.
+
+use super::columns::Column;
+use super::problem::Problem;
+
+/// Cells of a sheet with their columns.
+#[derive(Debug)]
+pub struct SheetFile {
+    /// The character between cells.
+    pub separator: Separator,
+    /// The column of each position; none for a column without a header.
+    pub header: Vec<Option<Column>>,
+    /// Positions whose header cell is blank.
+    pub blank_headers: Vec<usize>,
+    /// Rows below the header that are not blank.
+    pub rows: Vec<RawRow>,
+    /// Problems of the header and the quoting.
+    pub problems: Vec<Problem>,
+}
+
+/// One row with its number in the spreadsheet.
+#[derive(Debug, Clone)]
+pub struct RawRow {
+    /// Row number, counted from 1 with blank rows.
+    pub row: usize,
+    /// The cells without surrounding white space.
+    pub cells: Vec<String>,
+}
+
+/// The character between cells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Separator {
+    /// A comma; numbers then have decimal points.
+    Comma,
+    /// A semicolon, which programs use where numbers have decimal commas.
+    Semicolon,
+    /// A tab.
+    Tab,
+}
+
+impl Separator {
+    /// Returns the character.
+    pub fn as_char(self) -> char {
+        match self {
+            Self::Comma => ',',
+            Self::Semicolon => ';',
+            Self::Tab => '\t',
+        }
+    }
+}
+
+/// Splits a sheet into rows and reads its header.
+///
+/// # Errors
+/// If the bytes are not text, or there is no usable header.
+pub fn read(bytes: &[u8]) -> Result<SheetFile, Vec<Problem>> {
+    let text = decode(bytes).map_err(|problem| vec![problem])?;
+    let mut text = text.replace("\r\n", "\n").replace('\r', "\n");
+    text.push('\n');
+    let (separator, first_row) = find_separator(&mut text);
+    let mut rows = split(&text, separator, first_row);
+    rows.retain(|row| row.cells.iter().any(|cell| !cell.is_empty()));
+    if rows.is_empty() {
+        return Err(vec![Problem::new(1, "", "", "the sheet is empty")]);
+    }
+    let header_row = rows.remove(0);
+    let (header, mut problems) = read_header(&header_row)?;
+    if text.matches('"').count() % 2 == 1 {
+        let row = rows.last().map_or(header_row.row, |row| row.row);
+        let reason = "a quotation mark before or in this row is not closed";
+        problems.push(Problem::new(row, "", "", reason));
+    }
+    if rows.is_empty() {
+        problems.push(Problem::new(header_row.row, "", "", "the sheet has no row but the header"));
+    }
+    let blank_headers = blank_positions(&header_row);
+    Ok(SheetFile { separator, header, blank_headers, rows, problems })
+}
+
+/// Decodes UTF-8 with or without a byte order mark, and UTF-16 with one.
+fn decode(bytes: &[u8]) -> Result<String, Problem> {
+    let not_text = |row| Problem::new(row, "", "", "not UTF-8 text; save the sheet as CSV UTF-8");
+    let utf16 = |bytes: &[u8], join: fn([u8; 2]) -> u16| {
+        let units: Vec<u16> = bytes.chunks_exact(2).map(|pair| join([pair[0], pair[1]])).collect();
+        String::from_utf16(&units).map_err(|_| not_text(1))
+    };
+    match bytes {
+        [0xEF, 0xBB, 0xBF, rest @ ..] => decode_utf8(rest).map_err(not_text),
+        [0xFF, 0xFE, rest @ ..] => utf16(rest, u16::from_le_bytes),
+        [0xFE, 0xFF, rest @ ..] => utf16(rest, u16::from_be_bytes),
+        _ => decode_utf8(bytes).map_err(not_text),
+    }
+}
+
+/// Decodes UTF-8, or returns the line of the first bad byte.
+fn decode_utf8(bytes: &[u8]) -> Result<String, usize> {
+    match std::str::from_utf8(bytes) {
+        Ok(text) => Ok(text.to_owned()),
+        Err(error) => {
+            let good = &bytes[..error.valid_up_to()];
+            Err(good.iter().filter(|byte| **byte == b'\n').count() + 1)
+        }
+    }
+}
+
+/// Finds the separator from a `sep=` line, which is removed, or from the first line with text.
+///
+/// Returns it with the number of the row that the text starts with then.
+fn find_separator(text: &mut String) -> (Separator, usize) {
+    let first = text.lines().next().unwrap_or_default().trim_matches('"');
+    let declared = match first.trim_end_matches(' ').strip_prefix("sep=") {
+        Some(";") => Some(Separator::Semicolon),
+        Some(",") => Some(Separator::Comma),
+        Some("\t") => Some(Separator::Tab),
+        _ => None,
+    };
+    if let Some(separator) = declared {
+        let end = text.find('\n').map_or(text.len(), |position| position + 1);
+        text.drain(..end);
+        return (separator, 2);
+    }
+    let header = text.lines().find(|line| !line.trim().is_empty()).unwrap_or_default();
+    let count = |separator: Separator| header.matches(separator.as_char()).count();
+    let (comma, semicolon, tab) =
+        (count(Separator::Comma), count(Separator::Semicolon), count(Separator::Tab));
+    let separator = if tab > comma.max(semicolon) {
+        Separator::Tab
+    } else if semicolon > comma {
+        Separator::Semicolon
+    } else {
+        Separator::Comma
+    };
+    (separator, 1)
+}
+
+/// Splits text into rows, numbered as a spreadsheet numbers them.
+fn split(text: &str, separator: Separator, first_row: usize) -> Vec<RawRow> {
+    let mut reader = csv::ReaderBuilder::new()
+        .has_headers(false)
+        .flexible(true)
+        .delimiter(separator.as_char() as u8)
+        .from_reader(text.as_bytes());
+    let mut rows = Vec::new();
+    let mut row = first_row;
+    let mut record = csv::StringRecord::new();
+    let mut line = reader.position().line();
+    while reader.read_record(&mut record).unwrap_or(false) {
+        let line_breaks: usize = record.iter().map(|cell| cell.matches('\n').count()).sum();
+        let lines = (reader.position().line() - line) as usize;
+        // The reader skips blank lines before a record; they are rows of the spreadsheet too.
+        row += lines.saturating_sub(line_breaks + 1);
+        let cells = record.iter().map(|cell| trim(cell).to_owned()).collect();
+        rows.push(RawRow { row, cells });
+        row += 1;
+        line = reader.position().line();
+    }
+    rows
+}
+
+/// Removes white space, non-breaking spaces and byte order marks around a cell.
+fn trim(cell: &str) -> &str {
+    cell.trim_matches(|c: char| c.is_whitespace() || c == '\u{FEFF}' || c == '\u{200B}')
+}
+
+fn blank_positions(row: &RawRow) -> Vec<usize> {
+    let cells = row.cells.iter().enumerate();
+    cells.filter(|(_, cell)| cell.is_empty()).map(|(position, _)| position).collect()
+}
+
+type Header = Vec<Option<Column>>;
+
+/// Reads the header; columns without a header may be blank only.
+fn read_header(row: &RawRow) -> Result<(Header, Vec<Problem>), Vec<Problem>> {
+    let mut header: Header = Vec::new();
+    let mut problems = Vec::new();
+    for cell in &row.cells {
+        let column = Column::parse(cell);
+        if column.is_some() && header.contains(&column) {
+            problems.push(Problem::new(row.row, cell, cell, "the column is there twice"));
+        } else if column.is_none() && !cell.is_empty() {
+            problems.push(Problem::new(row.row, cell, cell, "there is no such column"));
+        }
+        header.push(column);
+    }
+    for needed in [Column::Table, Column::Name] {
+        if !header.contains(&Some(needed)) {
+            let reason = "the header row lacks this column";
+            return Err(vec![Problem::new(row.row, needed.as_str(), "", reason)]);
+        }
+    }
+    Ok((header, problems))
+}
--- /dev/null
+++ b/src/sheet/mod.rs
@@ -0,0 +1,33 @@
+//! The operators' sheet: one CSV file with all tables of the configuration.
+
+pub mod cell;
+pub mod columns;
+pub mod diff;
+pub mod export;
+pub mod file;
+pub mod number;
+pub mod problem;
+pub mod rows;
+pub mod rules;
+pub mod values;
+
+pub use diff::{Difference, diff};
+pub use export::export;
+pub use problem::Problem;
+
+use crate::config::Config;
+
+/// Reads a sheet; the result has no keys and the version 0.
+///
+/// # Errors
+/// Returns every problem found, in the order of the rows.
+pub fn parse(bytes: &[u8]) -> Result<Config, Vec<Problem>> {
+    let file = file::read(bytes)?;
+    let (records, mut problems) = rows::read(&file);
+    let config = rules::check(records, &mut problems);
+    if problems.is_empty() {
+        return Ok(config);
+    }
+    problems.sort_by_key(|problem| problem.row);
+    Err(problems)
+}
--- /dev/null
+++ b/src/sheet/rows.rs
@@ -0,0 +1,359 @@
+//! Reads rows of cells into records, noting every problem on the way.
+//!
+//! A record is made even if some of its cells are wrong, with a stand-in value, so that the rules
+//! between tables can still be checked and all problems are found in one pass.
+
+use std::collections::BTreeSet;
+
+use super::cell;
+use super::columns::{Column, Table};
+use super::file::{RawRow, Separator, SheetFile};
+use super::number::{UNIT, parse_thousandths};
+use super::problem::Problem;
+use crate::config::model::TIERS;
+use crate::config::{
+    Access, BackendServer, Class, DataCentre, Organisation, Repeatability, Route, RouteTarget,
+    ServerKind, Tier,
+};
+use crate::names::RouteName;
+
+/// Requests that an organisation may have waiting in one queue, unless its row says otherwise.
+const DEFAULT_MAX_WAITING: u32 = 100;
+/// A tenth of a percent in thousandths of a percent.
+pub const PERCENT_TENTH: u64 = UNIT / 10;
+/// Largest share in thousandths.
+pub const WHOLE_SHARE: u64 = 1_000;
+/// Largest time in milliseconds that a target may have.
+const MAX_TARGET_MS: u64 = 3_600_000;
+/// Largest count of requests, slots or weight.
+const MAX_COUNT: u64 = 1_000_000;
+/// Largest price or token limit.
+const MAX_AMOUNT: u64 = 1_000_000_000_000;
+
+/// A record with the number of its row.
+#[derive(Debug)]
+pub struct Placed<T> {
+    /// Row number.
+    pub row: usize,
+    /// The record.
+    pub record: T,
+}
+
+/// An organisation with the routes granted to it.
+#[derive(Debug)]
+pub struct OrganisationRow {
+    /// The organisation.
+    pub organisation: Organisation,
+    /// The routes granted to it.
+    pub routes: BTreeSet<RouteName>,
+}
+
+/// All records of a sheet in the order of the rows.
+#[derive(Debug, Default)]
+pub struct Records {
+    /// Classes.
+    pub classes: Vec<Placed<Class>>,
+    /// Routes; those that are granted have no organisation yet.
+    pub routes: Vec<Placed<Route>>,
+    /// Organisations.
+    pub organisations: Vec<Placed<OrganisationRow>>,
+    /// Data centres.
+    pub data_centres: Vec<Placed<DataCentre>>,
+    /// Backend servers.
+    pub backend_servers: Vec<Placed<BackendServer>>,
+}
+
+/// Reads all rows.
+pub fn read(file: &SheetFile) -> (Records, Vec<Problem>) {
+    let mut records = Records::default();
+    let mut problems = file.problems.clone();
+    for raw in &file.rows {
+        read_row(file, raw, &mut records, &mut problems);
+    }
+    (records, problems)
+}
+
+fn read_row(file: &SheetFile, raw: &RawRow, records: &mut Records, problems: &mut Vec<Problem>) {
+    let mut reader = RowReader { file, raw, problems };
+    reader.check_faults();
+    let table = reader.text(Column::Table).to_owned();
+    let Some(table) = Table::parse(&table) else {
+        let reason = "use class, route, organisation, data-centre or backend-server";
+        return reader.note(Column::Table, reason);
+    };
+    reader.check_unused(table);
+    let row = raw.row;
+    match table {
+        Table::Class => records.classes.push(Placed { row, record: reader.class() }),
+        Table::Route => records.routes.push(Placed { row, record: reader.route() }),
+        Table::Organisation => {
+            records.organisations.push(Placed { row, record: reader.organisation() });
+        }
+        Table::DataCentre => {
+            records.data_centres.push(Placed { row, record: reader.data_centre() });
+        }
+        Table::BackendServer => {
+            records.backend_servers.push(Placed { row, record: reader.backend_server() });
+        }
+    }
+}
+
+/// Reads the cells of one row and notes what is wrong with them.
+struct RowReader<'a> {
+    file: &'a SheetFile,
+    raw: &'a RawRow,
+    problems: &'a mut Vec<Problem>,
+}
+
+type Check = fn(&str) -> Result<(), &'static str>;
+
+impl<'a> RowReader<'a> {
+    /// Returns the raw text of a cell; empty if the sheet lacks the column.
+    fn raw_text(&self, column: Column) -> &'a str {
+        let position = self.file.header.iter().position(|header| *header == Some(column));
+        position.and_then(|position| self.raw.cells.get(position)).map_or("", String::as_str)
+    }
+
+    /// Returns the text of a cell; empty if it holds a fault, which is noted elsewhere.
+    fn text(&self, column: Column) -> &'a str {
+        let raw = self.raw_text(column);
+        if cell::spreadsheet_fault(raw).is_some() { "" } else { cell::unguard(raw) }
+    }
+
+    fn is_faulty(&self, column: Column) -> bool {
+        cell::spreadsheet_fault(self.raw_text(column)).is_some()
+    }
+
+    fn note(&mut self, column: Column, reason: impl Into<String>) {
+        let value = self.raw_text(column);
+        self.problems.push(Problem::new(self.raw.row, column.as_str(), value, reason));
+    }
+
+    /// Notes cells that hold no value, and cells beyond the header.
+    fn check_faults(&mut self) {
+        for (position, text) in self.raw.cells.iter().enumerate() {
+            let column = self.file.header.get(position).copied().flatten();
+            let name = column.map_or("", Column::as_str);
+            if let Some(fault) = cell::spreadsheet_fault(text) {
+                self.problems.push(Problem::new(self.raw.row, name, text, fault));
+            } else if column.is_none() && !text.is_empty() && self.has_no_header(position) {
+                let reason = format!("\"{text}\" stands in a column without a header");
+                self.problems.push(Problem::new(self.raw.row, "", text, reason));
+            }
+        }
+    }
+
+    /// Returns whether a position has no header at all, rather than one that was noted already.
+    fn has_no_header(&self, position: usize) -> bool {
+        position >= self.file.header.len() || self.file.blank_headers.contains(&position)
+    }
+
+    /// Notes cells that the table does not use.
+    fn check_unused(&mut self, table: Table) {
+        for column in self.file.header.iter().flatten() {
+            let used = *column == Column::Table || table.columns().contains(column);
+            if !used && !self.text(*column).is_empty() {
+                let reason = format!("leave it blank: a {} row has no such value", table.as_str());
+                self.note(*column, reason);
+            }
+        }
+    }
+
+    /// Reads a cell that must be given and pass a check.
+    fn checked(&mut self, column: Column, check: Check) -> &'a str {
+        let text = self.text(column);
+        if self.is_faulty(column) {
+            return text;
+        }
+        if text.is_empty() {
+            self.note(column, "must be given");
+        } else if let Err(reason) = check(text) {
+            self.note(column, reason);
+        }
+        text
+    }
+
+    /// Reads a number in thousandths; none if the cell is blank or wrong.
+    fn thousandths(&mut self, column: Column, max: u64) -> Option<u64> {
+        let text = self.text(column);
+        if text.is_empty() {
+            return None;
+        }
+        let text = match column {
+            Column::PromisedShare => text.trim_end_matches('%').trim_end(),
+            _ => text,
+        };
+        match parse_thousandths(text, self.separator()) {
+            Ok(value) if value <= max * UNIT => Some(value),
+            Ok(_) => {
+                self.note(column, format!("use at most {max}"));
+                None
+            }
+            Err(reason) => {
+                self.note(column, reason);
+                None
+            }
+        }
+    }
+
+    fn separator(&self) -> Separator {
+        self.file.separator
+    }
+
+    /// Reads a whole number from `min` to `max`; none if the cell is blank or wrong.
+    fn whole(&mut self, column: Column, min: u64, max: u64) -> Option<u64> {
+        let value = self.thousandths(column, max)?;
+        if !value.is_multiple_of(UNIT) || value / UNIT < min {
+            self.note(column, format!("use a whole number from {min} to {max}"));
+            return None;
+        }
+        Some(value / UNIT)
+    }
+
+    /// Reads a whole number that must be given.
+    fn needed(&mut self, column: Column, min: u64, max: u64) -> u32 {
+        if self.text(column).is_empty() && !self.is_faulty(column) {
+            self.note(column, "must be given");
+        }
+        self.whole(column, min, max).unwrap_or(min) as u32
+    }
+
+    fn yes_no(&mut self, column: Column, otherwise: Option<bool>) -> bool {
+        let text = self.text(column);
+        if self.is_faulty(column) {
+            return false;
+        }
+        match (text.is_empty(), otherwise) {
+            (true, Some(otherwise)) => otherwise,
+            (true, None) => {
+                self.note(column, "must be given: use yes or no");
+                false
+            }
+            (false, _) => cell::parse_yes_no(text).unwrap_or_else(|reason| {
+                self.note(column, reason);
+                false
+            }),
+        }
+    }
+
+    fn routes(&mut self) -> BTreeSet<RouteName> {
+        cell::split_list(self.text(Column::Routes)).map(RouteName::from).collect()
+    }
+
+    fn class(&mut self) -> Class {
+        Class {
+            name: self.checked(Column::Name, cell::check_ascii_name).into(),
+            tier: Tier(self.needed(Column::Tier, 0, TIERS as u64 - 1) as u8),
+            first_token_ms: self.needed(Column::FirstTokenMs, 1, MAX_TARGET_MS),
+            token_gap_ms: self.needed(Column::TokenGapMs, 1, MAX_TARGET_MS),
+            promised_share: self.promised_share(),
+            repeatability: match self.yes_no(Column::Repeatable, None) {
+                true => Repeatability::Idempotent,
+                false => Repeatability::NonIdempotent,
+            },
+        }
+    }
+
+    /// Reads a percentage with at most one decimal place as thousandths of the whole.
+    fn promised_share(&mut self) -> u16 {
+        let percent = self.thousandths(Column::PromisedShare, 100).unwrap_or_default();
+        if !percent.is_multiple_of(PERCENT_TENTH) {
+            self.note(Column::PromisedShare, "use at most one decimal place");
+        }
+        (percent / PERCENT_TENTH) as u16
+    }
+
+    fn route(&mut self) -> Route {
+        Route {
+            name: self.checked(Column::Name, cell::check_ascii_name).into(),
+            target: self.route_target(),
+            access: self.access(),
+            class: self.checked(Column::Class, |_| Ok(())).into(),
+        }
+    }
+
+    fn route_target(&mut self) -> RouteTarget {
+        let (model, prefix) = (self.text(Column::Model), self.text(Column::PathPrefix));
+        match (model.is_empty(), prefix.is_empty()) {
+            (false, true) => {
+                RouteTarget::Model(self.checked(Column::Model, cell::check_model).into())
+            }
+            (true, false) => {
+                RouteTarget::Prefix(self.checked(Column::PathPrefix, cell::check_prefix).to_owned())
+            }
+            (true, true) => {
+                self.note(Column::Model, "a route needs a model or a path-prefix");
+                RouteTarget::Model("".into())
+            }
+            (false, false) => {
+                self.note(Column::PathPrefix, "a route has a model or a path-prefix, not both");
+                RouteTarget::Model(model.into())
+            }
+        }
+    }
+
+    fn access(&mut self) -> Access {
+        match self.text(Column::Access).to_lowercase().as_str() {
+            "open" => Access::Open,
+            "granted" => Access::Granted(BTreeSet::new()),
+            _ => {
+                self.note(Column::Access, "use open or granted");
+                Access::Granted(BTreeSet::new())
+            }
+        }
+    }
+
+    fn organisation(&mut self) -> OrganisationRow {
+        let organisation = Organisation {
+            name: self.checked(Column::Name, cell::check_name).into(),
+            weight: self.needed(Column::Weight, 1, MAX_COUNT),
+            tokens_per_minute: self.whole(Column::TokensPerMinute, 1, MAX_AMOUNT),
+            max_running: self.whole(Column::MaxRunning, 1, MAX_COUNT).map(|count| count as u32),
+            max_waiting: self
+                .whole(Column::MaxWaiting, 0, MAX_COUNT)
+                .map_or(DEFAULT_MAX_WAITING, |count| count as u32),
+        };
+        OrganisationRow { organisation, routes: self.routes() }
+    }
+
+    fn data_centre(&mut self) -> DataCentre {
+        DataCentre {
+            name: self.checked(Column::Name, cell::check_ascii_name).into(),
+            region: self.checked(Column::Region, cell::check_ascii_name).into(),
+            in_service: self.yes_no(Column::InService, Some(true)),
+        }
+    }
+
+    fn backend_server(&mut self) -> BackendServer {
+        let server = BackendServer {
+            name: self.checked(Column::Name, cell::check_ascii_name).into(),
+            data_centre: self.checked(Column::DataCentre, |_| Ok(())).into(),
+            address: self
+                .checked(Column::Address, cell::check_address)
+                .trim_end_matches('/')
+                .into(),
+            routes: self.routes(),
+            kind: self.kind(),
+            price: self.thousandths(Column::Price, MAX_AMOUNT).unwrap_or_default(),
+            slots: self.needed(Column::Slots, 1, MAX_COUNT),
+            cold_limit: self.needed(Column::ColdLimit, 1, MAX_COUNT),
+            checks_fencing: self.yes_no(Column::ChecksFencing, Some(false)),
+            in_service: self.yes_no(Column::InService, Some(true)),
+        };
+        if server.cold_limit > server.slots {
+            self.note(Column::ColdLimit, format!("is above the slots, {}", server.slots));
+        }
+        server
+    }
+
+    fn kind(&mut self) -> ServerKind {
+        match self.text(Column::Kind).to_lowercase().as_str() {
+            "" | "standard" => ServerKind::Standard,
+            "reclaimable" => ServerKind::Reclaimable,
+            _ => {
+                self.note(Column::Kind, "use standard or reclaimable");
+                ServerKind::Standard
+            }
+        }
+    }
+}
