--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #[macro_use]
 mod macros;
 
+pub mod admin;
 pub mod claim;
 pub mod cli;
 pub mod clock;
@@ -22,5 +23,6 @@
 pub mod peer;
 pub mod platform;
 pub mod serve;
+pub mod sheet;
 pub mod timer;
 pub mod usage;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -24,7 +24,7 @@
 use crate::platform::Objects;
 use crate::timer::Timer;
 use crate::usage::{self, Ledger};
-use crate::entry;
+use crate::{admin, entry};
 
 /// Reports of peers' configuration that may wait to be compared.
 const HEARD_QUEUE: usize = 1_024;
@@ -99,6 +99,8 @@
         ledger: ledger.clone(),
     };
     let mut peers = tokio::spawn(serve_peers(sockets.peers, cx.clone(), peers, homes));
+    let admin = admin::serve(sockets.admin, cx.clone(), config);
+    let mut admin = tokio::spawn(admin);
     let admitter = Admitter::new(cx.clone());
     let entry = entry::serve(sockets.callers, cx.clone(), admitter, ledger.clone(), claims);
     let mut entry = tokio::spawn(entry);
@@ -107,6 +109,7 @@
     tokio::select! {
         () = stop => {}
         ended = &mut entry => ended??,
+        ended = &mut admin => ended??,
         ended = &mut peers => ended??,
     }
     drain(&cx, &draining, entry, &ledger).await
