Seal usage windows in a chain and report from the seals

Cause: late records, lost answers and racing reporters must not give a window two figures. Each seal is created if absent under the number that follows the one before, with the figures and the position consumed of each tally. Naming seals by wall-clock window was ruled out: two reporters with different clocks could then both start from the same marks.

--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -92,7 +92,8 @@
         &self,
         req: Request<KeepUsageRequest>,
     ) -> Result<Response<KeepUsageReply>, Status> {
-        self.ledger.keep(req.into_inner()).await;
+        let kept = self.ledger.keep(req.into_inner()).await;
+        kept.map_err(|full| Status::resource_exhausted(full.to_string()))?;
         Ok(Response::new(KeepUsageReply {}))
     }
 
--- /dev/null
+++ b/src/usage/chain.rs
@@ -0,0 +1,144 @@
+//! The chain of seals in the object API, as the reporter reads and extends it.
+
+use std::collections::BTreeMap;
+
+use super::seal::{PROGRESS, Progress, Seal, StoredSeal, next_seal};
+use super::tally::Tally;
+use crate::context::Context;
+use crate::metrics::Counter;
+use crate::platform::{Object, PlatformError, StoreKind};
+
+/// Reported seals that are kept.
+const RETAINED_SEALS: u64 = 8;
+
+/// The seals that matter to the reporter.
+#[derive(Debug, Clone, Default)]
+pub struct Chain {
+    seals: BTreeMap<u64, Seal>,
+    versions: BTreeMap<u64, String>,
+    progress: Progress,
+    progress_version: Option<String>,
+}
+
+impl Chain {
+    /// Reads the chain.
+    ///
+    /// # Errors
+    /// If the object API failed.
+    pub async fn load(cx: &Context) -> Result<Self, PlatformError> {
+        count(cx, StoreKind::Seals);
+        let (objects, _) = cx.objects.list::<StoredSeal>(StoreKind::Seals).await?;
+        let mut chain = Self::default();
+        for Object { version, spec, .. } in objects {
+            match spec {
+                StoredSeal::Seal(seal) => chain.add(seal, version),
+                StoredSeal::Progress(progress) => {
+                    chain.progress = progress;
+                    chain.progress_version = Some(version);
+                }
+            }
+        }
+        Ok(chain)
+    }
+
+    /// Returns the latest seal.
+    pub fn latest(&self) -> Option<&Seal> {
+        self.seals.last_key_value().map(|(_, seal)| seal)
+    }
+
+    /// Returns the seals that are not known to be reported, oldest first.
+    pub fn unreported(&self) -> impl Iterator<Item = &Seal> {
+        self.seals.range(self.progress.reported + 1..).map(|(_, seal)| seal)
+    }
+
+    /// Reads all tallies; call it after the latest seal is known.
+    ///
+    /// # Errors
+    /// If the object API failed.
+    pub async fn tallies(&self, cx: &Context) -> Result<Vec<Object<Tally>>, PlatformError> {
+        count(cx, StoreKind::Tallies);
+        cx.objects.list(StoreKind::Tallies).await.map(|(tallies, _)| tallies)
+    }
+
+    /// Seals a window, or takes over the seal that another reporter made in its place.
+    ///
+    /// Returns the seal, or none if there is nothing to seal.
+    ///
+    /// # Errors
+    /// If the outcome is unknown; sealing again is safe.
+    pub async fn extend(
+        &mut self,
+        cx: &Context,
+        tallies: &[Object<Tally>],
+        window: u64,
+    ) -> Result<Option<Seal>, PlatformError> {
+        let Some(seal) = next_seal(self.latest(), tallies, window) else { return Ok(None) };
+        let name = Seal::object_name(seal.number);
+        let stored = StoredSeal::Seal(seal.clone());
+        count(cx, StoreKind::Seals);
+        match cx.objects.create(StoreKind::Seals, &name, &stored).await {
+            Ok(version) => {
+                self.add(seal.clone(), version);
+                Ok(Some(seal))
+            }
+            Err(PlatformError::Conflict | PlatformError::Unknown(_)) => self.adopt(cx, &name).await,
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Reads back the seal of a name; none if there is none.
+    async fn adopt(&mut self, cx: &Context, name: &str) -> Result<Option<Seal>, PlatformError> {
+        count(cx, StoreKind::Seals);
+        match cx.objects.get::<StoredSeal>(StoreKind::Seals, name).await {
+            Ok(Object { version, spec: StoredSeal::Seal(seal), .. }) => {
+                self.add(seal.clone(), version);
+                Ok(Some(seal))
+            }
+            Ok(_) | Err(PlatformError::NotFound) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Stores that all figures are reported up to a seal.
+    ///
+    /// # Errors
+    /// If it was not stored, or the outcome is unknown; the chain must be loaded again then.
+    pub async fn mark_reported(&mut self, cx: &Context, seal: &Seal) -> Result<(), PlatformError> {
+        let progress = Progress { reported: seal.number, marks: seal.marks.clone() };
+        let stored = StoredSeal::Progress(progress.clone());
+        count(cx, StoreKind::Seals);
+        let version = match &self.progress_version {
+            Some(version) => cx.objects.update(StoreKind::Seals, PROGRESS, version, &stored).await,
+            None => cx.objects.create(StoreKind::Seals, PROGRESS, &stored).await,
+        }?;
+        self.progress = progress;
+        self.progress_version = Some(version);
+        Ok(())
+    }
+
+    /// Deletes reported seals that are older than those to keep.
+    pub async fn prune(&mut self, cx: &Context) {
+        let oldest = self.progress.reported.saturating_sub(RETAINED_SEALS);
+        let old: Vec<u64> = self.seals.range(..oldest).map(|(number, _)| *number).collect();
+        for number in old {
+            let version = self.versions.get(&number).cloned().unwrap_or_default();
+            count(cx, StoreKind::Seals);
+            let name = Seal::object_name(number);
+            let deleted = cx.objects.delete(StoreKind::Seals, &name, &version).await;
+            if matches!(deleted, Ok(()) | Err(PlatformError::NotFound)) {
+                self.seals.remove(&number);
+                self.versions.remove(&number);
+            }
+        }
+    }
+
+    fn add(&mut self, seal: Seal, version: String) {
+        self.versions.insert(seal.number, version);
+        self.seals.insert(seal.number, seal);
+    }
+}
+
+/// Counts a call to the object API.
+pub(super) fn count(cx: &Context, kind: StoreKind) {
+    cx.metrics.add(Counter::PlatformCalls, kind.as_str(), 1);
+}
--- /dev/null
+++ b/src/usage/report.rs
@@ -0,0 +1,92 @@
+//! The client of the usage-report interface.
+
+use std::time::Duration;
+
+use reqwest::{StatusCode, Url};
+
+use super::tally::Figures;
+use crate::names::OrganisationName;
+use crate::platform::Permit;
+
+/// How long one report may take.
+const REPORT_DEADLINE: Duration = Duration::from_secs(2);
+
+/// Figures as the usage-report interface takes them; the order of the fields is fixed.
+#[derive(serde::Serialize)]
+struct Body {
+    requests: u64,
+    prompt_tokens: u64,
+    output_tokens: u64,
+}
+
+/// How a report ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportOutcome {
+    /// The interface has the figures.
+    Accepted,
+    /// The interface has other figures, which must never happen.
+    Differs,
+    /// There was no answer or a refusal; the same report must be sent again.
+    Unsettled,
+}
+
+/// Sends reports.
+#[derive(Debug, Clone)]
+pub struct ReportClient {
+    http: reqwest::Client,
+    base: String,
+}
+
+impl ReportClient {
+    /// Makes a client for the interface at a base URL.
+    ///
+    /// # Errors
+    /// Fails if the HTTP client can't be built.
+    pub fn new(base: &str) -> eyre::Result<Self> {
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .redirect(reqwest::redirect::Policy::none())
+            .connect_timeout(Duration::from_secs(1))
+            .build()?;
+        Ok(Self { http, base: base.trim_end_matches('/').to_owned() })
+    }
+
+    /// Returns the URL of one report; names are escaped as path segments.
+    fn url(&self, window: u64, organisation: &OrganisationName) -> Option<Url> {
+        let mut url = Url::parse(&self.base).ok()?;
+        url.path_segments_mut().ok()?.pop_if_empty().extend([
+            "usage",
+            "windows",
+            &window.to_string(),
+            "organisations",
+            organisation.as_str(),
+        ]);
+        Some(url)
+    }
+
+    /// Reports the sealed figures of one organisation while the permit lasts.
+    pub async fn report(
+        &self,
+        permit: &Permit<'_>,
+        window: u64,
+        organisation: &OrganisationName,
+        figures: Figures,
+    ) -> ReportOutcome {
+        let Some(url) = self.url(window, organisation) else { return ReportOutcome::Unsettled };
+        let Figures { requests, prompt_tokens, output_tokens } = figures;
+        let body = Body { requests, prompt_tokens, output_tokens };
+        let deadline = REPORT_DEADLINE.min(permit.remaining());
+        match self.http.put(url).timeout(deadline).json(&body).send().await {
+            Ok(rsp) if rsp.status().is_success() => ReportOutcome::Accepted,
+            Ok(rsp) if rsp.status() == StatusCode::CONFLICT => ReportOutcome::Differs,
+            Ok(rsp) => {
+                tracing::warn!(status = %rsp.status(), "the usage-report interface refused a report");
+                ReportOutcome::Unsettled
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a usage report was not answered");
+                ReportOutcome::Unsettled
+            }
+        }
+    }
+}
--- a/src/usage/seal.rs
+++ b/src/usage/seal.rs
@@ -29,6 +29,14 @@
         /// Marks of that seal: batches up to them may be removed from tallies.
         pub marks: BTreeMap<String, u64>,
     }
+
+    /// An object in the collection of seals.
+    pub enum StoredSeal {
+        /// A sealed window.
+        Seal(Seal),
+        /// How far windows are reported.
+        Progress(Progress),
+    }
 }
 
 impl Seal {
--- a/src/usage/writer.rs
+++ b/src/usage/writer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::seal::{PROGRESS, Progress};
+use super::seal::{PROGRESS, StoredSeal};
 use super::tally::{Owner, Tally};
 use crate::metrics::{Counter, Metrics};
 use crate::peer::generated::v1::UsageRecord;
@@ -111,8 +111,11 @@
             return None;
         }
         self.metrics.add(Counter::PlatformCalls, StoreKind::Seals.as_str(), 1);
-        let progress: Object<Progress> = self.objects.get(StoreKind::Seals, PROGRESS).await.ok()?;
-        progress.spec.marks.get(&owner.object_name()).copied()
+        let stored: Object<StoredSeal> = self.objects.get(StoreKind::Seals, PROGRESS).await.ok()?;
+        match stored.spec {
+            StoredSeal::Progress(progress) => progress.marks.get(&owner.object_name()).copied(),
+            StoredSeal::Seal(_) => None,
+        }
     }
 
     async fn read(&self, name: &str) -> Result<Option<Object<Tally>>, AppendError> {
--- /dev/null
+++ b/tests/usage_ledger.rs
@@ -0,0 +1,120 @@
+//! Usage records survive killed, frozen and cut-off instances and count once.
+
+mod usage_support;
+
+use laburnumvalve::usage::tally::Figures;
+use standins::platform::{LostAnswer, Outage, PlatformFaults};
+use standins::{Platform, PlatformSettings};
+use usage_support::{Fleet, eventually, served, tallied};
+
+const NAMES: [(&str, &str); 4] =
+    [("a", "kolkata-a"), ("b", "kolkata-a"), ("c", "kolkata-b"), ("d", "howrah-c")];
+
+async fn fleet() -> (Platform, Fleet) {
+    let platform = Platform::start(PlatformSettings::default()).await.expect("platform");
+    let fleet = Fleet::start(&platform, &NAMES).await;
+    (platform, fleet)
+}
+
+async fn record(fleet: &Fleet, name: &str, count: u64) {
+    for _ in 0..count {
+        fleet.ledger(name).record(served("weavers", 5)).await;
+    }
+}
+
+fn figures(requests: u64) -> Figures {
+    Figures { requests, prompt_tokens: requests * 10, output_tokens: requests * 5 }
+}
+
+#[tokio::test]
+async fn records_of_a_killed_instance_are_written_by_its_keepers() {
+    let (platform, mut fleet) = fleet().await;
+    record(&fleet, "a", 40).await;
+
+    fleet.kill("a");
+
+    eventually("the keepers write", || tallied(&platform) == figures(40)).await;
+    assert_eq!(platform.objects("tallies").len(), 1);
+}
+
+#[tokio::test]
+async fn records_survive_when_the_instance_and_one_keeper_are_killed() {
+    let (platform, mut fleet) = fleet().await;
+    record(&fleet, "a", 40).await;
+
+    // The keeper in the same data centre dies with the instance.
+    fleet.kill("b");
+    fleet.kill("a");
+
+    eventually("the other keeper writes", || tallied(&platform) == figures(40)).await;
+}
+
+#[tokio::test]
+async fn a_thawed_instance_adds_nothing_that_its_keepers_wrote() {
+    // Arrange: the instance wrote 10 records and knows that version; 30 more are only kept.
+    let (platform, fleet) = fleet().await;
+    record(&fleet, "a", 10).await;
+    assert!(fleet.ledger("a").flush().await);
+    record(&fleet, "a", 30).await;
+
+    // Act: the others take it for gone; later it goes on, with 5 more records.
+    fleet.tell(&["a"]);
+    eventually("the keepers write", || tallied(&platform) == figures(40)).await;
+    fleet.tell(&[]);
+    record(&fleet, "a", 5).await;
+    let flushed = fleet.ledger("a").flush().await;
+
+    // Assert
+    assert!(flushed);
+    assert_eq!(tallied(&platform), figures(45));
+}
+
+#[tokio::test]
+async fn writes_without_an_answer_count_once() {
+    let (platform, fleet) = fleet().await;
+    let lost = |words: &str| LostAnswer { matching: words.to_owned(), count: 2, hang: false };
+    let lost_answers = vec![lost("create tallies"), lost("update tallies")];
+    platform.set_faults(PlatformFaults { lost_answers, ..PlatformFaults::default() });
+
+    for _ in 0..4 {
+        record(&fleet, "a", 10).await;
+        assert!(fleet.ledger("a").flush().await);
+    }
+
+    assert_eq!(tallied(&platform), figures(40));
+}
+
+#[tokio::test]
+async fn an_outage_holds_up_no_request_and_loses_no_record() {
+    // Arrange: the platform accepts connections and never answers.
+    let (platform, fleet) = fleet().await;
+    let outage = Some(Outage::Hang);
+    platform.set_faults(PlatformFaults { outage, ..PlatformFaults::default() });
+
+    // Act: a flush waits, requests do not.
+    let ledger = fleet.ledger("a");
+    record(&fleet, "a", 1).await;
+    let flush = tokio::spawn(async move { ledger.flush().await });
+    record(&fleet, "a", 30).await;
+    let flush_waited = !flush.is_finished();
+    platform.set_faults(PlatformFaults::default());
+
+    // Assert
+    assert!(flush_waited);
+    assert!(flush.await.expect("flush"));
+    assert!(fleet.ledger("a").flush().await);
+    assert_eq!(tallied(&platform), figures(31));
+}
+
+#[tokio::test]
+async fn a_record_goes_on_without_keepers() {
+    let (platform, mut fleet) = fleet().await;
+    for name in ["b", "c", "d"] {
+        fleet.kill(name);
+    }
+
+    record(&fleet, "a", 5).await;
+
+    assert!(fleet.ledger("a").flush().await);
+    assert_eq!(tallied(&platform), figures(5));
+}
--- /dev/null
+++ b/tests/usage_support/mod.rs
@@ -0,0 +1,231 @@
+//! Instances with only a usage task and a peer service, in one process.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use laburnumvalve::clock::Clock;
+use laburnumvalve::context::Context;
+use laburnumvalve::event::Recorder;
+use laburnumvalve::metrics::Metrics;
+use laburnumvalve::options::{Options, Secret};
+use laburnumvalve::peer::generated::v1::peer_server::{Peer, PeerServer};
+use laburnumvalve::peer::generated::v1::{
+    BeatReply, BeatRequest, FetchConfigReply, FetchConfigRequest, KeepUsageReply, KeepUsageRequest,
+    SpreadReply, SpreadRequest, TimelineReply, TimelineRequest,
+};
+use laburnumvalve::peer::{Member, Members, Pool};
+use laburnumvalve::platform::Objects;
+use laburnumvalve::timer::Timer;
+use laburnumvalve::usage::tally::{Figures, Tally, add_totals};
+use laburnumvalve::usage::{Ledger, LedgerSettings, Served, task};
+use standins::Platform;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status};
+
+/// Period that no test waits for.
+pub const NEVER: Duration = Duration::from_secs(3_600);
+
+/// The senders of what an instance's tasks watch.
+pub struct Controls {
+    pub members: watch::Sender<Arc<Members>>,
+    pub draining: watch::Sender<bool>,
+}
+
+/// Makes the context of an instance with the given settings.
+pub fn context(options: Options, incarnation: u64) -> (Context, Controls) {
+    let clock = Clock::default();
+    let (members_tx, members) = watch::channel(Arc::default());
+    let (draining_tx, draining) = watch::channel(false);
+    let cx = Context {
+        incarnation,
+        recorder: Recorder::new(options.instance.clone(), clock.clone()),
+        clock,
+        timer: Timer::start(),
+        metrics: Metrics::default(),
+        objects: Objects::new(&options.platform).expect("client"),
+        pool: Pool::new(&options.fleet_secret).expect("pool"),
+        options: Arc::new(options),
+        in_force: watch::channel(Arc::default()).1,
+        members,
+        loads: watch::channel(Arc::default()).1,
+        draining,
+    };
+    (cx, Controls { members: members_tx, draining: draining_tx })
+}
+
+/// Returns the settings of an instance on a platform.
+pub fn options(name: &str, platform: &Platform) -> Options {
+    Options {
+        instance: name.into(),
+        data_centre: "kolkata-a".into(),
+        platform: platform.url(),
+        orders: platform.url(),
+        usage: platform.url(),
+        fleet_secret: Secret::new("fleet-secret-0123"),
+        ..Options::default()
+    }
+}
+
+/// A peer service that only keeps usage records.
+struct KeeperService {
+    ledger: Ledger,
+}
+
+#[tonic::async_trait]
+impl Peer for KeeperService {
+    async fn keep_usage(
+        &self,
+        req: Request<KeepUsageRequest>,
+    ) -> Result<Response<KeepUsageReply>, Status> {
+        let kept = self.ledger.keep(req.into_inner()).await;
+        kept.map_err(|full| Status::resource_exhausted(full.to_string()))?;
+        Ok(Response::new(KeepUsageReply {}))
+    }
+
+    async fn beat(&self, _: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
+        Err(Status::unimplemented("beat"))
+    }
+
+    async fn fetch_config(
+        &self,
+        _: Request<FetchConfigRequest>,
+    ) -> Result<Response<FetchConfigReply>, Status> {
+        Err(Status::unimplemented("fetch_config"))
+    }
+
+    async fn spread(&self, _: Request<SpreadRequest>) -> Result<Response<SpreadReply>, Status> {
+        Err(Status::unimplemented("spread"))
+    }
+
+    async fn timeline(
+        &self,
+        _: Request<TimelineRequest>,
+    ) -> Result<Response<TimelineReply>, Status> {
+        Err(Status::unimplemented("timeline"))
+    }
+}
+
+/// One running instance.
+pub struct Instance {
+    pub cx: Context,
+    pub ledger: Ledger,
+    controls: Controls,
+    member: Member,
+    server: JoinHandle<()>,
+}
+
+/// Running instances that know each other.
+pub struct Fleet {
+    pub instances: BTreeMap<String, Instance>,
+}
+
+impl Fleet {
+    /// Starts instances by name and data centre; own records are written on a flush only.
+    pub async fn start(platform: &Platform, names: &[(&str, &str)]) -> Self {
+        let settings = LedgerSettings {
+            flush_period: NEVER,
+            gone_after: Duration::from_millis(100),
+            stale_after: NEVER,
+            retry_period: Duration::from_millis(20),
+            ..LedgerSettings::default()
+        };
+        let mut instances = BTreeMap::new();
+        for (index, (name, data_centre)) in names.iter().enumerate() {
+            let options = Options { data_centre: (*data_centre).into(), ..options(name, platform) };
+            let (cx, controls) = context(options, index as u64 + 1);
+            let ledger = task::start_with(cx.clone(), settings);
+            let (server, peer_address) = serve(ledger.clone()).await;
+            let member = Member {
+                name: (*name).into(),
+                data_centre: (*data_centre).into(),
+                peer_address,
+                leaving: false,
+            };
+            let instance = Instance { cx, ledger, controls, member, server };
+            instances.insert((*name).to_owned(), instance);
+        }
+        let fleet = Self { instances };
+        fleet.tell(&[]);
+        fleet
+    }
+
+    /// Tells all instances which of them are suspected.
+    pub fn tell(&self, suspected: &[&str]) {
+        let listed = self
+            .instances
+            .values()
+            .map(|instance| (instance.member.name.clone(), instance.member.clone()))
+            .collect();
+        let suspected = suspected.iter().map(|name| (*name).into()).collect();
+        let members = Arc::new(Members { listed, suspected, ..Members::default() });
+        for instance in self.instances.values() {
+            instance.controls.members.send_replace(members.clone());
+        }
+    }
+
+    /// Ends an instance at once and takes it off the list.
+    pub fn kill(&mut self, name: &str) {
+        let instance = self.instances.remove(name).expect("running");
+        instance.server.abort();
+        drop(instance);
+        self.tell(&[]);
+    }
+
+    /// Returns the usage task of an instance.
+    pub fn ledger(&self, name: &str) -> Ledger {
+        self.instances[name].ledger.clone()
+    }
+}
+
+async fn serve(ledger: Ledger) -> (JoinHandle<()>, String) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("port");
+    let address = listener.local_addr().expect("address").to_string();
+    let service = PeerServer::new(KeeperService { ledger });
+    let server = tonic::transport::Server::builder().add_service(service);
+    let incoming = TcpListenerStream::new(listener);
+    let handle = tokio::spawn(async move {
+        server.serve_with_incoming(incoming).await.expect("peer service");
+    });
+    (handle, address)
+}
+
+/// Returns a served request of an organisation.
+pub fn served(organisation: &str, output_tokens: u64) -> Served {
+    Served {
+        request: "r".into(),
+        organisation: organisation.into(),
+        class: "long".into(),
+        route: "timing-model".into(),
+        prompt_tokens: 10,
+        output_tokens,
+    }
+}
+
+/// Returns the sum over all batches of all tallies, with one figure for all organisations.
+pub fn tallied(platform: &Platform) -> Figures {
+    let mut sum = Figures::default();
+    for spec in platform.objects("tallies").into_values() {
+        let tally: Tally = serde_json::from_value(spec).expect("tally");
+        let mut totals = BTreeMap::new();
+        add_totals(&mut totals, &tally.totals_after(0));
+        totals.into_values().for_each(|figures| sum += figures);
+    }
+    sum
+}
+
+/// Waits until a condition holds; fails the test after a generous bound.
+pub async fn eventually(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..1_500 {
+        if holds() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("never: {what}");
+}
