--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -11,20 +11,14 @@
 
 use std::sync::Arc;
 
-use futures::FutureExt;
-use futures::future::BoxFuture;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::{Router, Server, Service};
 use tokio::net::TcpListener;
 
-use crate::clock::Hlc;
 use crate::config::ConfigHandle;
 use crate::context::Context;
-use crate::event::{Event, Recorder};
 use crate::names::InstanceName;
 
-/// Returns at most so many events after a time, of all instances that answer.
-pub type EventSource = Arc<dyn Fn(Hlc, usize) -> BoxFuture<'static, Vec<Event>> + Send + Sync>;
 /// Returns the leases that this instance knows of.
 pub type LeaseSource = Arc<dyn Fn() -> Vec<KnownLease> + Send + Sync>;
 
@@ -40,38 +34,18 @@
     }
 }
 
-/// Where the administration API gets what other parts know.
-#[derive(Clone)]
-pub struct Sources {
-    /// Events for the time line.
-    pub events: EventSource,
-    /// Leases for the status.
-    pub leases: LeaseSource,
-}
-
-impl Sources {
-    /// Shows the events of this instance only, and no leases.
-    pub fn local(recorder: Recorder) -> Self {
-        let events = move |since, limit| {
-            let events = recorder.since(since, limit);
-            async move { events }.boxed()
-        };
-        Self { events: Arc::new(events), leases: Arc::new(Vec::new) }
-    }
-}
-
 /// What the handlers of the administration API share.
 #[derive(Clone)]
 struct Admin {
     cx: Context,
     config: ConfigHandle,
-    sources: Sources,
+    leases: LeaseSource,
 }
 
 /// Builds the routes of the administration API.
-pub fn router(cx: Context, config: ConfigHandle, sources: Sources) -> Router {
+pub fn router(cx: Context, config: ConfigHandle, leases: LeaseSource) -> Router {
     let secret = auth::RequireSecret(cx.options.admin_secret.clone());
-    let admin = Admin { cx, config, sources };
+    let admin = Admin { cx, config, leases };
     let open = Router::new()
         .push(Router::with_path("ready").get(health::Ready(admin.clone())))
         .push(Router::with_path("metrics").get(health::ShowMetrics(admin.clone())));
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -31,7 +31,7 @@
             "marks": in_force.marks.iter().map(|mark| show_mark(&in_force, &mark)).collect::<Vec<_>>(),
             "members": show_members(&members),
             "backend_servers": show_servers(&in_force, &loads),
-            "leases": (self.0.sources.leases)(),
+            "leases": (self.0.leases)(),
         });
         answer(res, StatusCode::OK, body);
     }
--- a/src/admin/timeline.rs
+++ b/src/admin/timeline.rs
@@ -7,7 +7,8 @@
 use super::Admin;
 use super::reply::{answer, refuse};
 use crate::clock::Hlc;
-use crate::event::{Event, EventKind, MAX_EVENTS};
+use crate::event::{Event, EventKind};
+use crate::peer::timeline;
 
 /// Shows the events that pass the filter of the query.
 pub struct ShowTimeline(pub Admin);
@@ -31,10 +32,9 @@
             }
         };
         let since = Hlc(req.query("since").unwrap_or_default());
-        let mut events = (self.0.sources.events)(since, MAX_EVENTS).await;
-        events.retain(|event| filter.matches(event));
-        events.sort_by(|a, b| (a.at, &a.instance).cmp(&(b.at, &b.instance)));
-        answer(res, StatusCode::OK, json!({ "events": events }));
+        let mut timeline = timeline::collect(&self.0.cx, since).await;
+        timeline.events.retain(|event| filter.matches(event));
+        answer(res, StatusCode::OK, json!(timeline));
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,10 @@
 use std::process::ExitCode;
 
 use laburnumvalve::cli::{self, Command, EXIT_DONE, EXIT_FAILED, EXIT_USAGE, UsageError};
-use laburnumvalve::options::SETTINGS;
+use laburnumvalve::log;
+use laburnumvalve::options::{Options, SETTINGS};
+use laburnumvalve::serve::{self, Sockets};
+use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
     match run() {
@@ -18,15 +21,32 @@
 
 fn run() -> eyre::Result<()> {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    match cli::parse(&args, |name| std::env::var(name).ok())? {
+    let command = cli::parse(&args, |name| std::env::var(name).ok())?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    match command {
         Command::Print(text) => print!("{text}"),
-        Command::ServeCheck(options) => {
-            for setting in SETTINGS {
-                println!("{} = {}", setting.flag, (setting.show)(&options));
-            }
-        }
-        Command::Serve(_) => eyre::bail!("serve is not available yet"),
+        Command::ServeCheck(options) => print_settings(&options),
+        Command::Serve(options) => runtime.block_on(serve(*options))?,
         Command::Operate(..) => eyre::bail!("operator commands are not available yet"),
     }
     Ok(())
 }
+
+fn print_settings(options: &Options) {
+    for setting in SETTINGS {
+        println!("{} = {}", setting.flag, (setting.show)(options));
+    }
+}
+
+async fn serve(options: Options) -> eyre::Result<()> {
+    log::start(&options)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let sockets = Sockets::bind(&options).await?;
+    serve::run(options, sockets, async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+    })
+    .await
+}
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -78,11 +78,7 @@
     ///
     /// # Errors
     /// Fails if the HTTP client can't be built.
-    pub fn start(
-        cx: Context,
-        homes: Homes,
-        outputs: Outputs,
-    ) -> eyre::Result<Self> {
+    pub fn start(cx: Context, homes: Homes, outputs: Outputs) -> eyre::Result<Self> {
         let (tx, rx) = mpsc::channel(INBOX);
         let http = reqwest::Client::builder().no_proxy().build()?;
         let bounds = Bounds::new(cx.options.suspect_after);
@@ -269,7 +265,7 @@
             marks_digest: reply.marks_digest,
             members_revision: reply.members_revision,
             draining: reply.draining,
-            loads: self.homes.loads(),
+            loads: self.homes.loads().borrow().to_vec(),
             uses: Vec::new(),
             program_version: env!("CARGO_PKG_VERSION").to_owned(),
         }
@@ -391,8 +387,8 @@
             .iter()
             .map(|(name, (_, load))| (name.as_str().into(), load.clone()))
             .collect();
-        for load in self.homes.loads() {
-            loads.insert(load.backend_server.as_str().into(), load);
+        for load in self.homes.loads().borrow().iter() {
+            loads.insert(load.backend_server.as_str().into(), load.clone());
         }
         self.outputs.loads.send_replace(Arc::new(loads));
     }
