--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod home;
 pub mod metrics;
 pub mod names;
+pub mod operate;
 pub mod options;
 pub mod outcome;
 pub mod peer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use laburnumvalve::cli::{self, Command, EXIT_DONE, EXIT_FAILED, EXIT_USAGE, UsageError};
+use laburnumvalve::operate;
 use laburnumvalve::options::SETTINGS;
 
 fn main() -> ExitCode {
@@ -26,7 +27,10 @@
             }
         }
         Command::Serve(_) => eyre::bail!("serve is not available yet"),
-        Command::Operate(..) => eyre::bail!("operator commands are not available yet"),
+        Command::Operate(operation, reach) => tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?
+            .block_on(operate::run(operation, reach))?,
     }
     Ok(())
 }
--- /dev/null
+++ b/src/operate.rs
@@ -0,0 +1,240 @@
+//! The operator commands: calls to the administration API of a running instance.
+
+use std::time::Duration;
+
+use eyre::{WrapErr, bail};
+use reqwest::{Method, RequestBuilder, StatusCode};
+use serde_json::{Value, json};
+
+use crate::cli::{Operation, Reach, TimelineFilter};
+use crate::config::Accepted;
+use crate::sheet::{Difference, Problem};
+
+/// How long a command waits for its answer; longer than an instance tries to reach the platform.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Problems of a sheet that are printed; JSON output has all.
+const MAX_PRINTED: usize = 200;
+
+/// Carries out an operator's command and prints the result.
+///
+/// # Errors
+/// If the instance can't be reached or refuses.
+pub async fn run(operation: Operation, reach: Reach) -> eyre::Result<()> {
+    let client = Client::new(reach)?;
+    let json = client.reach.json;
+    if operation == Operation::SheetExport {
+        print!("{}", client.text(client.request(Method::GET, "/sheet")).await?);
+        return Ok(());
+    }
+    let body = client.call(client.prepare(&operation)?).await?;
+    if json {
+        println!("{body:#}");
+    } else {
+        print!("{}", describe(&operation, &body));
+    }
+    Ok(())
+}
+
+/// Calls one administration API.
+struct Client {
+    http: reqwest::Client,
+    reach: Reach,
+}
+
+impl Client {
+    fn new(reach: Reach) -> eyre::Result<Self> {
+        let http = reqwest::Client::builder().no_proxy().timeout(ANSWER_TIMEOUT).build()?;
+        Ok(Self { http, reach })
+    }
+
+    fn request(&self, method: Method, path: &str) -> RequestBuilder {
+        let url = format!("{}{path}", self.reach.admin.trim_end_matches('/'));
+        self.http.request(method, url).bearer_auth(self.reach.secret.reveal())
+    }
+
+    fn prepare(&self, operation: &Operation) -> eyre::Result<RequestBuilder> {
+        let read = |file: &std::path::Path| {
+            std::fs::read(file).wrap_err_with(|| format!("{} can't be read", file.display()))
+        };
+        Ok(match operation {
+            Operation::SheetCheck(file) => {
+                self.request(Method::POST, "/sheet/check").body(read(file)?)
+            }
+            Operation::SheetApply(file) => {
+                self.request(Method::POST, "/sheet/apply").body(read(file)?)
+            }
+            Operation::SheetExport => self.request(Method::GET, "/sheet"),
+            Operation::KeyIssue { organisation, default_class, allowed_classes } => {
+                self.request(Method::POST, "/keys").json(&json!({
+                    "organisation": organisation,
+                    "default_class": default_class,
+                    "allowed_classes": allowed_classes,
+                }))
+            }
+            Operation::KeyWithdraw(id) => self.request(Method::DELETE, &format!("/keys/{id}")),
+            Operation::DataCentre(name, in_service) => {
+                self.service(&format!("/data-centres/{name}/service"), *in_service)
+            }
+            Operation::BackendServer(name, in_service) => {
+                self.service(&format!("/backend-servers/{name}/service"), *in_service)
+            }
+            Operation::Status => self.request(Method::GET, "/status"),
+            Operation::Timeline(filter) => {
+                self.request(Method::GET, "/timeline").query(&query(filter))
+            }
+        })
+    }
+
+    fn service(&self, path: &str, in_service: bool) -> RequestBuilder {
+        self.request(Method::PUT, path).json(&json!({ "in_service": in_service }))
+    }
+
+    async fn call(&self, req: RequestBuilder) -> eyre::Result<Value> {
+        let text = self.text(req).await?;
+        serde_json::from_str(&text).wrap_err("the answer is not JSON")
+    }
+
+    async fn text(&self, req: RequestBuilder) -> eyre::Result<String> {
+        let admin = &self.reach.admin;
+        let rsp = req.send().await.wrap_err_with(|| format!("{admin} can't be reached"))?;
+        let status = rsp.status();
+        let text = rsp.text().await.wrap_err("the answer was cut short")?;
+        if status.is_success() {
+            return Ok(text);
+        }
+        if self.reach.json {
+            println!("{text}");
+        }
+        bail!("{}", refusal(status, &text))
+    }
+}
+
+fn query(filter: &TimelineFilter) -> Vec<(&'static str, &str)> {
+    let pairs = [
+        ("request", &filter.request),
+        ("organisation", &filter.organisation),
+        ("backend-server", &filter.backend_server),
+        ("kind", &filter.kind),
+    ];
+    pairs.into_iter().filter_map(|(name, value)| Some((name, value.as_deref()?))).collect()
+}
+
+/// Makes a text for people from the body of a refusal.
+fn refusal(status: StatusCode, text: &str) -> String {
+    let body: Value = serde_json::from_str(text).unwrap_or_default();
+    let error = &body["error"];
+    let message = error["message"].as_str().unwrap_or(text).to_owned();
+    let problems: Vec<Problem> =
+        serde_json::from_value(error["problems"].clone()).unwrap_or_default();
+    let mut lines = vec![if message.is_empty() { status.to_string() } else { message }];
+    lines.extend(problems.iter().take(MAX_PRINTED).map(|problem| format!("  {problem}")));
+    if problems.len() > MAX_PRINTED {
+        lines.push(format!("  and {} more; --json shows all", problems.len() - MAX_PRINTED));
+    }
+    lines.join("\n")
+}
+
+/// Makes a text for people from the answer to a command.
+fn describe(operation: &Operation, body: &Value) -> String {
+    match operation {
+        Operation::SheetCheck(_) => describe_differences(body),
+        Operation::SheetApply(_) => {
+            let accepted = Accepted {
+                version: body["version"].as_u64().unwrap_or_default(),
+                changed: body["changed"].as_bool().unwrap_or_default(),
+            };
+            let what = if accepted.changed { "accepted" } else { "no change" };
+            format!("{}version {}: {what}\n", describe_differences(body), accepted.version)
+        }
+        Operation::SheetExport => String::new(),
+        Operation::KeyIssue { .. } => {
+            format!("id {}\nkey {} (shown only now)\n", plain(&body["id"]), plain(&body["key"]))
+        }
+        Operation::KeyWithdraw(id) => format!("key {id} withdrawn{}\n", durability(body)),
+        Operation::DataCentre(name, in_service) => {
+            format!("data centre {name} {}{}\n", way(*in_service), durability(body))
+        }
+        Operation::BackendServer(name, in_service) => {
+            format!("backend server {name} {}{}\n", way(*in_service), durability(body))
+        }
+        Operation::Status => describe_status(body),
+        Operation::Timeline(_) => describe_events(body),
+    }
+}
+
+fn describe_differences(body: &Value) -> String {
+    let differences: Vec<Difference> =
+        serde_json::from_value(body["differences"].clone()).unwrap_or_default();
+    let mut text = format!("{} difference(s)\n", differences.len());
+    for difference in differences {
+        text.push_str(&format!("  {difference}\n"));
+    }
+    text
+}
+
+fn way(in_service: bool) -> &'static str {
+    if in_service { "in" } else { "out" }
+}
+
+fn durability(body: &Value) -> &'static str {
+    match body["durable"].as_bool() {
+        Some(true) => "",
+        _ => " (in force; not yet stored, because the platform does not answer)",
+    }
+}
+
+fn describe_status(body: &Value) -> String {
+    let mut text = format!(
+        "instance {} in {}: {}, configuration version {}\n",
+        plain(&body["instance"]),
+        plain(&body["data_centre"]),
+        if body["ready"] == true { "ready" } else { "not ready" },
+        body["config_version"],
+    );
+    for (title, key) in [
+        ("mark", "marks"),
+        ("member", "members"),
+        ("backend server", "backend_servers"),
+        ("lease", "leases"),
+    ] {
+        for item in body[key].as_array().into_iter().flatten() {
+            text.push_str(&format!("{title} {}\n", describe_item(item)));
+        }
+    }
+    text
+}
+
+/// Writes an object as its name followed by its other fields.
+fn describe_item(item: &Value) -> String {
+    let fields = item.as_object().into_iter().flatten();
+    let others: Vec<String> = fields
+        .filter(|(key, value)| *key != "name" && !value.is_null())
+        .map(|(key, value)| format!("{key}={}", plain(value)))
+        .collect();
+    format!("{}: {}", plain(&item["name"]), others.join(" "))
+}
+
+fn describe_events(body: &Value) -> String {
+    let mut text = String::new();
+    for event in body["events"].as_array().into_iter().flatten() {
+        let about: Vec<String> = ["request", "organisation", "backend_server"]
+            .into_iter()
+            .filter(|key| !event[key].is_null())
+            .map(|key| format!(" {key}={}", plain(&event[key])))
+            .collect();
+        text.push_str(&format!(
+            "{} {} {}{}: {}\n",
+            event["at"],
+            plain(&event["instance"]),
+            plain(&event["kind"]),
+            about.concat(),
+            plain(&event["detail"]),
+        ));
+    }
+    text
+}
+
+/// Writes a string without quotation marks and any other value as JSON.
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), ToOwned::to_owned)
+}
