--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,12 +7,15 @@
 mod macros;
 
 pub mod admin;
+pub mod claim;
 pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod context;
+pub mod entry;
 pub mod event;
 pub mod home;
+pub mod log;
 pub mod metrics;
 pub mod names;
 pub mod operate;
@@ -20,6 +23,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod serve;
 pub mod sheet;
 pub mod timer;
 pub mod usage;
--- a/src/operate.rs
+++ b/src/operate.rs
@@ -231,6 +231,9 @@
             plain(&event["detail"]),
         ));
     }
+    for instance in body["missing"].as_array().into_iter().flatten() {
+        text.push_str(&format!("(no events from {}: it did not answer)\n", plain(instance)));
+    }
     text
 }
 
