--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -9,43 +9,24 @@
 mod status;
 mod timeline;
 
-use std::sync::Arc;
-
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::{Router, Server, Service};
 use tokio::net::TcpListener;
 
 use crate::config::ConfigHandle;
 use crate::context::Context;
-use crate::names::InstanceName;
-
-/// Returns the leases that this instance knows of.
-pub type LeaseSource = Arc<dyn Fn() -> Vec<KnownLease> + Send + Sync>;
-
-value! {
-    /// A lease as this instance knows it.
-    pub struct KnownLease {
-        /// What the lease is for.
-        pub name: String,
-        /// The instance that holds it.
-        pub holder: InstanceName,
-        /// Its epoch, which is the fencing number of orders given under it.
-        pub epoch: u64,
-    }
-}
 
 /// What the handlers of the administration API share.
 #[derive(Clone)]
 struct Admin {
     cx: Context,
     config: ConfigHandle,
-    leases: LeaseSource,
 }
 
-/// Builds the routes of the administration API; `leases` tells the leases for the status.
-pub fn router(cx: Context, config: ConfigHandle, leases: LeaseSource) -> Router {
+/// Builds the routes of the administration API.
+pub fn router(cx: Context, config: ConfigHandle) -> Router {
     let secret = auth::RequireSecret(cx.options.admin_secret.clone());
-    let admin = Admin { cx, config, leases };
+    let admin = Admin { cx, config };
     let open = Router::new()
         .push(Router::with_path("ready").get(health::Ready(admin.clone())))
         .push(Router::with_path("metrics").get(health::ShowMetrics(admin.clone())));
@@ -63,8 +44,8 @@
 ///
 /// # Errors
 /// If the listener can't be used.
-pub async fn serve(listener: TcpListener, router: Router) -> eyre::Result<()> {
+pub async fn serve(listener: TcpListener, cx: Context, config: ConfigHandle) -> eyre::Result<()> {
     let acceptor = TcpAcceptor::try_from(listener)?;
-    Server::new(acceptor).try_serve(Service::new(router)).await?;
+    Server::new(acceptor).try_serve(Service::new(router(cx, config))).await?;
     Ok(())
 }
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -7,7 +7,9 @@
 use super::Admin;
 use super::reply::answer;
 use crate::config::{InForce, Mark, MarkTarget};
+use crate::context::Context;
 use crate::peer::{Loads, Members};
+use crate::platform::{Object, StoreKind};
 
 /// Shows the status.
 pub struct ShowStatus(pub Admin);
@@ -31,12 +33,19 @@
             "marks": in_force.marks.iter().map(|mark| show_mark(&in_force, &mark)).collect::<Vec<_>>(),
             "members": show_members(&members),
             "backend_servers": show_servers(&in_force, &loads),
-            "leases": (self.0.leases)(),
+            "leases": show_leases(cx).await,
         });
         answer(res, StatusCode::OK, body);
     }
 }
 
+/// Reads the leases from the platform; null if it does not answer.
+async fn show_leases(cx: &Context) -> Value {
+    let leases = cx.objects.list::<Value>(StoreKind::Leases).await;
+    let show = |lease: Object<Value>| json!({ "name": lease.name, "lease": lease.spec });
+    leases.map_or(Value::Null, |(leases, _)| leases.into_iter().map(show).collect())
+}
+
 fn show_mark(in_force: &InForce, mark: &Mark) -> Value {
     match mark {
         Mark::KeyWithdrawn(hash) => {
--- a/src/config/handle.rs
+++ b/src/config/handle.rs
@@ -165,7 +165,7 @@
     }
 
     /// Answers a peer that wants the configuration.
-    pub fn fetch(&self, req: v1::FetchConfigRequest) -> v1::FetchConfigReply {
+    pub async fn fetch(&self, req: v1::FetchConfigRequest) -> v1::FetchConfigReply {
         let state = self.state();
         let marks = state.marks().iter().map(|mark| mark_to_message(&mark)).collect();
         let newer = state.root().filter(|root| root.version > req.known_version);
