--- a/src/admin/timeline.rs
+++ b/src/admin/timeline.rs
@@ -1,8 +1,8 @@
-//! Shows recorded events in one order.
+//! Shows the recorded events of all instances in one order.
 
 use salvo::http::StatusCode;
 use salvo::{Request, Response, handler};
-use serde_json::{Value, json};
+use serde_json::Value;
 
 use super::Admin;
 use super::reply::{answer, refuse};
@@ -34,7 +34,7 @@
         let since = Hlc(req.query("since").unwrap_or_default());
         let mut timeline = timeline::collect(&self.0.cx, since).await;
         timeline.events.retain(|event| filter.matches(event));
-        answer(res, StatusCode::OK, json!(timeline));
+        answer(res, StatusCode::OK, timeline);
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod log;
 pub mod metrics;
 pub mod names;
+pub mod operate;
 pub mod options;
 pub mod outcome;
 pub mod peer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,9 +3,9 @@
 use std::process::ExitCode;
 
 use laburnumvalve::cli::{self, Command, EXIT_DONE, EXIT_FAILED, EXIT_USAGE, UsageError};
-use laburnumvalve::log;
 use laburnumvalve::options::{Options, SETTINGS};
 use laburnumvalve::serve::{self, Sockets};
+use laburnumvalve::{log, operate};
 use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
@@ -27,7 +27,7 @@
         Command::Print(text) => print!("{text}"),
         Command::ServeCheck(options) => print_settings(&options),
         Command::Serve(options) => runtime.block_on(serve(*options))?,
-        Command::Operate(..) => eyre::bail!("operator commands are not available yet"),
+        Command::Operate(operation, reach) => runtime.block_on(operate::run(operation, reach))?,
     }
     Ok(())
 }
