Claim idempotency keys before work that must run once

Two entries may receive the same idempotency key at once. A claim is created if absent in the object API and marked as sent by a conditional update before the first byte; who is not sure of its own mark sends nothing. Decisions are in a machine without input or output, so that their interleavings can be tested.

--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -1,16 +1,17 @@
 //! Claims of idempotency keys, which make a request run at most once.
+//!
+//! A claim is an object of the object API, named by a hash of the organisation and the idempotency
+//! key. It is created if absent, then marked as sent by a conditional update *before* the first
+//! byte goes to a backend server, and marked as done with the answer at the end. Whoever can't be
+//! sure that its own mark was written sends nothing. A claim that was never marked as sent may be
+//! taken over, since the conditional update of the former holder then fails.
+//!
+//! [`machine`] decides, without input or output; [`holder`] makes the calls.
 
-use crate::context::Context;
+pub mod holder;
+pub mod janitor;
+pub mod machine;
+pub mod record;
 
-/// Makes claims; clones share the connections.
-#[derive(Clone)]
-pub struct Claims {
-    _cx: Context,
-}
-
-impl Claims {
-    /// Prepares claims for this instance.
-    pub fn new(cx: Context) -> Self {
-        Self { _cx: cx }
-    }
-}
+pub use holder::{Claim, Claimed, Claims, SentClaim};
+pub use record::{ClaimRecord, ClaimState, StoredAnswer, StoredBody};
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -260,10 +260,10 @@
         Part::Token(text) => relay.note_token(text),
         Part::OtherToken => relay.note_other_token(),
     }
+    if relay.joins() && (!matches!(part, Part::Token(_)) || checker.tokens() == 1) {
+        relay.joiner.push_chunk(data);
+    }
     if !relay.sink.is_streamed() {
-        if !matches!(part, Part::Token(_)) || checker.tokens() == 1 {
-            relay.joiner.push_chunk(data);
-        }
         return None;
     }
     let event = caller_event(relay, data);
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -1,5 +1,7 @@
 //! Whether bytes of a request may have reached a backend server, over all of its attempts.
 
+use std::time::Duration;
+
 use super::auth::Denial;
 use crate::outcome::{ConnectFailed, Refusal, Sent, Unsent};
 
@@ -36,12 +38,16 @@
 
     /// Refuses the request: as not run if no attempt wrote a byte, else as unknown, or as ran if
     /// a part of an answer was received.
-    pub fn refuse(self, denial: Denial, answered: bool) -> Refusal {
+    pub fn refuse(self, denial: Denial, answered: bool, retry_after: Option<Duration>) -> Refusal {
         let Denial { code, message } = denial;
-        match self {
+        let refusal = match self {
             Self::Unsent(unsent) => unsent.refuse(code, message),
             Self::Sent(sent) if answered => sent.refuse_ran(code, message),
             Self::Sent(sent) => sent.refuse_unknown(code, message),
+        };
+        match retry_after {
+            Some(delay) => refusal.with_retry_after(delay),
+            None => refusal,
         }
     }
 
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -11,10 +11,13 @@
 use super::auth::{self, Denial};
 use super::chat::{ChatRequest, Kind};
 use super::models;
+use super::once::{self, Start};
 use super::relay::Relay;
 use super::reply::Reply;
 use super::sink;
 use super::work::Work;
+use crate::claim::StoredAnswer;
+use crate::claim::record::content_hash;
 use crate::names::RequestId;
 use crate::outcome::{RefusalCode, Unsent};
 
@@ -101,23 +104,34 @@
         let repeatable = auth::is_repeatable(&in_force.config, &class, route);
         let route = route.name.clone();
         let work = Work { id: id.clone(), caller, class, route, repeatable, received };
-        self.spawn(work, chat, idempotency_key).await
+        let content_hash = content_hash(req.method().as_str(), kind.path(), &body);
+        Ok(self.serve_chat(work, chat, idempotency_key, content_hash).await)
     }
 
-    async fn spawn(
+    async fn serve_chat(
         &self,
         work: Work,
         chat: ChatRequest,
-        idempotency_key: Option<String>,
-    ) -> Result<Reply, Denial> {
-        if !work.repeatable && idempotency_key.is_some() {
-            let message = "claims of idempotency keys are not available";
-            return Err(Denial::new(RefusalCode::ClaimUnavailable, message));
-        }
+        key: Option<String>,
+        content_hash: String,
+    ) -> Reply {
+        let claimed_key = key.as_deref().filter(|_| !work.repeatable);
+        let organisation = &work.caller.organisation;
+        let hash = || content_hash;
+        let start = once::claim(&self.claims, &work.id, organisation, claimed_key, hash).await;
+        let once = match start {
+            Start::Go(once) => once,
+            Start::Replay(answer) => return replay_chat(&answer, &chat),
+            Start::Refused(refusal) => {
+                work.note_refusal(&self.cx, &refusal);
+                return Reply::Refused(refusal);
+            }
+        };
+        let key = key.filter(|_| !work.repeatable);
         let (sink, source) = sink::channel(chat.streamed, self.cx.options.progress_bound);
-        let relay = Relay::new(self.clone(), work, chat, None, sink);
+        let relay = Relay::new(self.clone(), work, chat, key, once, sink);
         tokio::spawn(relay.run().in_current_span());
-        Ok(Reply::from_source(source).await)
+        Reply::from_source(source).await
     }
 
     /// Reads the request body, within the bounds on size and time.
@@ -139,6 +153,17 @@
     }
 }
 
+/// Returns the stored answer to an earlier chat request, in the form that the caller asks for.
+fn replay_chat(answer: &StoredAnswer, chat: &ChatRequest) -> Reply {
+    let body = answer.body.bytes().unwrap_or_default();
+    if !chat.streamed {
+        return Reply::Replay(answer.status, answer.headers.clone(), body);
+    }
+    let headers = vec![("content-type".to_owned(), "text/event-stream".to_owned())];
+    let events = once::stored_as_events(&body, chat.include_usage);
+    Reply::Replay(answer.status, headers, events)
+}
+
 /// Reads the idempotency key of a request.
 fn idempotency_key(req: &Request) -> Result<Option<String>, Denial> {
     let bad = || Denial::new(RefusalCode::BadRequest, "\"Idempotency-Key\" is malformed");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,6 +15,7 @@
 pub mod handler;
 pub mod join;
 pub mod models;
+pub mod once;
 pub mod pick;
 pub mod relay;
 pub mod reply;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -10,6 +10,7 @@
 use super::chunk::Usage;
 use super::dispatch::Dispatch;
 use super::join::{self, Joiner};
+use super::once::{self, Once};
 use super::reply::error_body;
 use super::retry::{MAX_ATTEMPTS, backoff};
 use super::sink::Sink;
@@ -17,9 +18,9 @@
 use super::work::{Pace, Work};
 use crate::config::BackendServer;
 use crate::event::EventKind;
-use crate::home::client::{Ending, Permit};
+use crate::home::client::{Ending, Figures, Permit};
 use crate::metrics::Counter;
-use crate::outcome::{Refusal, RefusalCode};
+use crate::outcome::RefusalCode;
 use serde_json::json;
 use tokio::time::{Instant, sleep};
 
@@ -35,6 +36,8 @@
     pub idempotency_key: Option<String>,
     /// The way to the caller.
     pub sink: Sink,
+    /// The claim of the request, if it has one.
+    pub once: Once,
     /// Watches the caller's key.
     pub guard: Guard,
     /// Text received and passed on.
@@ -68,6 +71,7 @@
         work: Work,
         chat: ChatRequest,
         idempotency_key: Option<String>,
+        once: Once,
         sink: Sink,
     ) -> Self {
         let guard = Guard::new(entry.cx.in_force.clone(), work.caller.clone(), work.route.clone());
@@ -82,6 +86,7 @@
             chat,
             idempotency_key,
             sink,
+            once,
             guard,
             received: Received::default(),
             pace: Pace::default(),
@@ -108,11 +113,16 @@
         self.last_gap = self.pace.token();
         self.received.tokens += 1;
         self.received.text.push_str(text);
-        if !self.sink.is_streamed() {
+        if self.joins() {
             self.joiner.push_text(text);
         }
     }
 
+    /// Returns whether the answer is needed as a whole.
+    pub fn joins(&self) -> bool {
+        !self.sink.is_streamed() || self.once.is_claimed()
+    }
+
     /// Notes a token that is not text.
     pub fn note_other_token(&mut self) {
         self.last_gap = self.pace.token();
@@ -127,54 +137,67 @@
         loop {
             let (permit, server) = match self.wait_for_slot().await {
                 Slot::Granted(permit, server) => (permit, server),
-                Slot::Refused(no_slot) => return self.refuse_slot(dispatch, no_slot),
-                Slot::Gone => return self.gone(),
-                Slot::Revoked => return self.revoked(dispatch),
+                Slot::Refused(no_slot) => {
+                    return self.refuse(dispatch, no_slot.denial, no_slot.retry_after).await;
+                }
+                Slot::Gone => return self.gone(dispatch).await,
+                Slot::Revoked => return self.revoked(dispatch).await,
             };
-            if let Err(denial) = self.guard.check() {
-                permit.finish(Ending::NotSent, Default::default());
-                return self.refuse(dispatch, denial, None);
-            }
-            if !self.entry.takes_work(&server) {
-                permit.finish(Ending::NotSent, Default::default());
-                self.wish.avoid.insert(server.name.clone());
-                continue;
+            match self.prepare_send(&server).await {
+                Ok(true) => {}
+                Ok(false) => {
+                    permit.finish(Ending::NotSent, Figures::default());
+                    self.wish.avoid.insert(server.name.clone());
+                    continue;
+                }
+                Err(denial) => {
+                    permit.finish(Ending::NotSent, Figures::default());
+                    return self.refuse(dispatch, denial, None).await;
+                }
             }
             let sent = Instant::now();
-            let received_before = self.received.tokens;
+            let earlier = self.received.tokens;
             let (after, end) = attempt::run(&mut self, dispatch, &permit, &server).await;
             dispatch = after;
+            permit.finish(ending(&end), self.pace.figures(sent, self.prompt_tokens(&end)));
             match end {
                 AttemptEnd::Whole(finish_reason, usage) => {
-                    let usage = total_usage(usage, received_before);
-                    permit.finish(Ending::Complete, self.pace.figures(sent, usage.prompt_tokens));
+                    let usage = total_usage(usage, earlier);
                     return self.complete(&server, finish_reason, usage).await;
                 }
-                AttemptEnd::Gone => {
-                    permit.finish(
-                        Ending::Cancelled,
-                        self.pace.figures(sent, self.chat.prompt_tokens),
-                    );
-                    return self.gone();
-                }
-                AttemptEnd::Revoked => {
-                    permit.finish(
-                        Ending::Cancelled,
-                        self.pace.figures(sent, self.chat.prompt_tokens),
-                    );
-                    return self.revoked(dispatch);
+                AttemptEnd::Gone => return self.gone(dispatch).await,
+                AttemptEnd::Revoked => return self.revoked(dispatch).await,
+                AttemptEnd::Failed(failure) if self.may_retry(&dispatch, &failure) => {
+                    self.prepare_retry(&server, &failure).await;
                 }
                 AttemptEnd::Failed(failure) => {
-                    permit.finish(failure.ending, self.pace.figures(sent, self.chat.prompt_tokens));
-                    if !self.may_retry(&dispatch, &failure) {
-                        return self.refuse(dispatch, failure.denial, None);
-                    }
-                    self.prepare_retry(&server, &failure).await;
+                    return self.refuse(dispatch, failure.denial, None).await;
                 }
             }
         }
     }
 
+    /// Decides again whether the request may be sent; returns false if the server may not be used.
+    ///
+    /// # Errors
+    /// If the request may not be sent at all.
+    async fn prepare_send(&mut self, server: &BackendServer) -> Result<bool, Denial> {
+        self.once.before_send().await?;
+        self.guard.check()?;
+        if self.once.is_claimed() {
+            // The caller may come back for the answer, which is stored.
+            self.sink.outlive_caller();
+        }
+        Ok(self.entry.takes_work(server))
+    }
+
+    fn prompt_tokens(&self, end: &AttemptEnd) -> u64 {
+        match end {
+            AttemptEnd::Whole(_, usage) => usage.prompt_tokens,
+            _ => self.chat.prompt_tokens,
+        }
+    }
+
     async fn wait_for_slot(&mut self) -> Slot {
         tokio::select! {
             biased;
@@ -231,11 +254,21 @@
         }
         let cx = self.entry.cx.clone();
         self.work.note_whole(&cx, &self.pace, &server.name, usage.completion_tokens);
-        if !self.sink.is_streamed() {
-            let id = self.work.id.as_str();
-            let answer = self.joiner.finish(self.chat.kind, id, &finish_reason, usage);
-            return self.sink.complete(answer);
+        let answer = self.joins().then(|| {
+            let joiner = std::mem::take(&mut self.joiner);
+            joiner.finish(self.chat.kind, self.work.id.as_str(), &finish_reason, usage)
+        });
+        if let Some(answer) = &answer {
+            let once = std::mem::replace(&mut self.once, Once::Free);
+            once.finish(|| once::stored_json(answer)).await;
         }
+        match answer {
+            Some(answer) if !self.sink.is_streamed() => self.sink.complete(answer),
+            _ => self.complete_stream(usage).await,
+        }
+    }
+
+    async fn complete_stream(mut self, usage: Usage) {
         if self.chat.include_usage {
             let event = self.usage_event(usage);
             if self.sink.event(event).await.is_err() {
@@ -255,36 +288,39 @@
         }))
     }
 
-    fn gone(self) {
+    async fn gone(self, dispatch: Dispatch) {
         self.work.note_waste(&self.entry.cx, "cancelled", self.received.tokens);
+        self.once.end_without_answer(&dispatch).await;
     }
 
-    fn revoked(self, dispatch: Dispatch) {
+    async fn revoked(self, dispatch: Dispatch) {
         let denial = Denial::new(RefusalCode::KeyWithdrawn, "the key was withdrawn");
-        self.refuse(dispatch, denial, None);
+        self.refuse(dispatch, denial, None).await;
     }
 
-    fn refuse_slot(self, dispatch: Dispatch, no_slot: NoSlot) {
-        self.refuse(dispatch, no_slot.denial, no_slot.retry_after);
-    }
-
-    fn refuse(self, dispatch: Dispatch, denial: Denial, retry_after: Option<Duration>) {
+    async fn refuse(self, dispatch: Dispatch, denial: Denial, retry_after: Option<Duration>) {
         let tokens = self.received.tokens;
         if tokens > 0 {
             self.entry.cx.metrics.add(Counter::WastedTokens, denial.code.as_str(), tokens);
         }
+        self.once.end_without_answer(&dispatch).await;
         let answered = tokens > 0 || denial.code == RefusalCode::BadRequest;
-        let refusal: Refusal = dispatch.refuse(denial, answered);
-        let refusal = match retry_after {
-            Some(delay) => refusal.with_retry_after(delay),
-            None => refusal,
-        };
+        let refusal = dispatch.refuse(denial, answered, retry_after);
         self.work.note_refusal(&self.entry.cx, &refusal);
         let body = error_body(&refusal, &self.work.id);
         self.sink.refuse(refusal, &body);
     }
 }
 
+/// Returns what the home instance is told about the end of an attempt.
+fn ending(end: &AttemptEnd) -> Ending {
+    match end {
+        AttemptEnd::Whole(..) => Ending::Complete,
+        AttemptEnd::Gone | AttemptEnd::Revoked => Ending::Cancelled,
+        AttemptEnd::Failed(failure) => failure.ending,
+    }
+}
+
 /// Returns the usage of the whole answer when its last attempt went on after earlier tokens.
 fn total_usage(usage: Usage, earlier: u64) -> Usage {
     let prompt_tokens = usage.prompt_tokens.saturating_sub(earlier);
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -1,7 +1,7 @@
 //! Writing answers and refusals to the caller's connection.
 
 use salvo::http::header::{CACHE_CONTROL, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use salvo::http::{HeaderMap, HeaderValue, ResBody, StatusCode};
+use salvo::http::{HeaderMap, HeaderName, HeaderValue, ResBody, StatusCode};
 use salvo::prelude::Response;
 use serde_json::{Value, json};
 
@@ -12,6 +12,9 @@
 /// Header with the request's identifier.
 pub const REQUEST_ID: &str = "x-request-id";
 
+/// Header that marks a stored answer.
+const REPLAYED: &str = "idempotent-replayed";
+
 /// An answer to be written.
 pub enum Reply {
     /// A refusal.
@@ -21,7 +24,9 @@
     /// A stream of server-sent events.
     Events(Source),
     /// An answer of a plain service.
-    Plain(StatusCode, HeaderMap, ResBody),
+    Plain(StatusCode, HeaderMap, Source),
+    /// The stored answer to an earlier request, as a status, headers and a body.
+    Replay(u16, Vec<(String, String)>, Vec<u8>),
 }
 
 impl Reply {
@@ -30,6 +35,7 @@
         match source.head().await {
             Some(Head::Refused(refusal)) => Self::Refused(refusal),
             Some(Head::Whole(value)) => Self::Json(value),
+            Some(Head::Plain(status, headers)) => Self::Plain(status, headers, source),
             Some(Head::Streaming) => Self::Events(source),
             None => Self::Refused(failed_task()),
         }
@@ -41,11 +47,12 @@
             Self::Refused(refusal) => write_refusal(rsp, &refusal, id),
             Self::Json(value) => write_json(rsp, StatusCode::OK, &value),
             Self::Events(source) => write_events(rsp, source),
-            Self::Plain(status, headers, body) => {
+            Self::Plain(status, headers, source) => {
                 rsp.status_code(status);
                 rsp.set_headers(headers);
-                rsp.body(body);
+                rsp.body(ResBody::stream(source.into_stream()));
             }
+            Self::Replay(status, headers, body) => write_replay(rsp, status, &headers, body),
         }
         if let Ok(value) = HeaderValue::from_str(id.as_str()) {
             rsp.headers_mut().insert(REQUEST_ID, value);
@@ -100,6 +107,19 @@
     rsp.body(ResBody::Once(value.to_string().into()));
 }
 
+fn write_replay(rsp: &mut Response, status: u16, headers: &[(String, String)], body: Vec<u8>) {
+    rsp.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::OK));
+    for (name, value) in headers {
+        if let (Ok(name), Ok(value)) =
+            (HeaderName::try_from(name.as_str()), HeaderValue::from_str(value))
+        {
+            rsp.headers_mut().insert(name, value);
+        }
+    }
+    rsp.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
+    rsp.body(ResBody::Once(body.into()));
+}
+
 fn write_events(rsp: &mut Response, source: Source) {
     rsp.status_code(StatusCode::OK);
     rsp.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -11,7 +11,7 @@
 use super::Entry;
 use super::backend::Backends;
 use super::retry::RetryBudget;
-use crate::claim::Claims;
+use crate::claim::{Claims, janitor};
 use crate::context::Context;
 use crate::home::Admitter;
 use crate::usage::Ledger;
@@ -37,6 +37,7 @@
 ) -> eyre::Result<()> {
     let mut draining = cx.draining.clone();
     let options = cx.options.clone();
+    tokio::spawn(janitor::run(cx.clone()));
     let entry = Entry {
         cx,
         admitter,
--- a/src/entry/sink.rs
+++ b/src/entry/sink.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use futures::{Stream, StreamExt, stream};
+use salvo::http::{HeaderMap, StatusCode};
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
@@ -29,6 +30,8 @@
     Streaming,
     /// It is one JSON value.
     Whole(Value),
+    /// It is an answer of a plain service, whose body follows.
+    Plain(StatusCode, HeaderMap),
 }
 
 /// The caller is gone, or reads nothing.
@@ -42,6 +45,10 @@
     events: mpsc::Sender<Bytes>,
     tail: oneshot::Sender<Bytes>,
     bound: Duration,
+    /// Whether the request goes on without its caller.
+    outlives_caller: bool,
+    /// Whether an event was not passed on, so that the stream may not end as if it were whole.
+    has_gap: bool,
 }
 
 /// Receiving side.
@@ -56,7 +63,15 @@
     let (head_tx, head) = oneshot::channel();
     let (events_tx, events) = mpsc::channel(BUFFERED_EVENTS);
     let (tail_tx, tail) = oneshot::channel();
-    let sink = Sink { streamed, head: Some(head_tx), events: events_tx, tail: tail_tx, bound };
+    let sink = Sink {
+        streamed,
+        head: Some(head_tx),
+        events: events_tx,
+        tail: tail_tx,
+        bound,
+        outlives_caller: false,
+        has_gap: false,
+    };
     (sink, Source { head, events, tail })
 }
 
@@ -66,23 +81,32 @@
         self.streamed
     }
 
+    /// Makes the request go on when its caller is gone.
+    pub fn outlive_caller(&mut self) {
+        self.outlives_caller = true;
+    }
+
     /// Passes an event to the caller of a stream.
     ///
     /// # Errors
     /// If the caller is gone or reads nothing.
     pub async fn event(&mut self, event: Bytes) -> Result<(), Gone> {
         self.start();
-        match timeout(self.bound, self.events.send(event)).await {
-            Ok(Ok(())) => Ok(()),
-            _ => Err(Gone),
+        if !self.has_gap {
+            let passed = timeout(self.bound, self.events.send(event)).await;
+            self.has_gap = !matches!(passed, Ok(Ok(())));
         }
+        if self.has_gap && !self.outlives_caller { Err(Gone) } else { Ok(()) }
     }
 
     /// Keeps the connection to the caller alive; returns when the caller is gone.
     pub async fn idle(&mut self) {
+        if self.outlives_caller && self.events.is_closed() {
+            std::future::pending::<()>().await;
+        }
         loop {
             tokio::select! {
-                () = self.events.closed() => return,
+                () = self.events.closed(), if !self.outlives_caller => return,
                 () = sleep(KEEP_ALIVE_PERIOD) => {
                     if self.streamed && self.event(sse::KEEP_ALIVE).await.is_err() {
                         return;
@@ -95,7 +119,9 @@
     /// Ends a stream as whole.
     pub fn complete_stream(mut self) {
         self.start();
-        let _ = self.tail.send(sse::event(sse::DONE.as_bytes()));
+        if !self.has_gap {
+            let _ = self.tail.send(sse::event(sse::DONE.as_bytes()));
+        }
     }
 
     /// Answers with one value.
@@ -117,6 +143,20 @@
         }
     }
 
+    /// Begins the answer of a plain service.
+    pub fn start_plain(&mut self, status: StatusCode, headers: HeaderMap) {
+        if let Some(head) = self.head.take() {
+            let _ = head.send(Head::Plain(status, headers));
+        }
+    }
+
+    /// Ends the answer of a plain service with its last bytes.
+    pub fn complete_plain(self, last: Bytes) {
+        if !self.has_gap {
+            let _ = self.tail.send(last);
+        }
+    }
+
     fn start(&mut self) {
         if let Some(head) = self.head.take() {
             let _ = head.send(Head::Streaming);
