--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #[macro_use]
 mod macros;
 
+pub mod admin;
 pub mod claim;
 pub mod cli;
 pub mod clock;
@@ -21,5 +22,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod serve;
+pub mod sheet;
 pub mod timer;
 pub mod usage;
