--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,10 +6,12 @@
 #[macro_use]
 mod macros;
 
+pub mod claim;
 pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod context;
+pub mod entry;
 pub mod event;
 pub mod home;
 pub mod log;
@@ -19,5 +21,6 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod serve;
 pub mod timer;
 pub mod usage;
