Add the scenario language

Scenarios of several faults at once read better as a few lines than as code, and a newcomer can add one.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod platform;
 pub mod received;
 pub mod relay;
+pub mod scenario;
 pub mod tokens;
 
 pub use engine::{Engine, EngineFaults, EngineSettings};
