--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -5,8 +5,8 @@
 
 use super::generated::v1::peer_server::{Peer, PeerServer};
 use super::generated::v1::{
-    BeatReply, BeatRequest, FetchConfigReply, FetchConfigRequest, KeepUsageReply,
-    KeepUsageRequest, SpreadReply, SpreadRequest, TimelineReply, TimelineRequest,
+    BeatReply, BeatRequest, FetchConfigReply, FetchConfigRequest, KeepUsageReply, KeepUsageRequest,
+    SpreadReply, SpreadRequest, TimelineReply, TimelineRequest,
 };
 use super::membership::Membership;
 use super::pool::{MAX_MESSAGE, SECRET_HEADER};
@@ -73,7 +73,7 @@
     ) -> Result<Response<FetchConfigReply>, Status> {
         let req = req.into_inner();
         let want_members = req.want_members;
-        let mut reply = self.config.fetch(req);
+        let mut reply = self.config.fetch(req).await;
         if want_members && let Some(list) = self.membership.current_list().await {
             reply.members_revision = list.revision;
             reply.members = serde_json::to_vec(&list)
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -95,7 +95,7 @@
     let peers =
         PeerService { cx: cx.clone(), membership, config: config.clone(), ledger: ledger.clone() };
     let mut peers = tokio::spawn(serve_peers(sockets.peers, cx.clone(), peers, homes));
-    let admin = admin::serve(sockets.admin, admin::router(cx.clone(), config));
+    let admin = admin::serve(sockets.admin, cx.clone(), config);
     let mut admin = tokio::spawn(admin);
     let admitter = Admitter::new(cx.clone());
     let entry = entry::serve(sockets.callers, cx.clone(), admitter, ledger.clone(), claims);
