--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -58,7 +58,7 @@
 
 /// How waiting for a slot ended.
 enum Slot {
-    Granted(Permit, BackendServer),
+    Granted(Box<Permit>, BackendServer),
     Refused(NoSlot),
     Gone,
     Revoked,
@@ -136,7 +136,7 @@
         let mut dispatch = Dispatch::new();
         loop {
             let (permit, server) = match self.wait_for_slot().await {
-                Slot::Granted(permit, server) => (permit, server),
+                Slot::Granted(permit, server) => (*permit, server),
                 Slot::Refused(no_slot) => {
                     return self.refuse(dispatch, no_slot.denial, no_slot.retry_after).await;
                 }
@@ -203,7 +203,7 @@
             biased;
             () = self.guard.revoked() => Slot::Revoked,
             admitted = admit::admit(&self.entry, &self.work, &self.wish) => match admitted {
-                Ok((permit, server)) => Slot::Granted(permit, server),
+                Ok((permit, server)) => Slot::Granted(Box::new(permit), server),
                 Err(no_slot) => Slot::Refused(no_slot),
             },
             () = self.sink.idle() => Slot::Gone,
