Route requests to plain services, and pick by the shared picker

A plain request goes the way of a chat request: allow-listed headers, a query without key-like parameters, and a refusal when the caller's key is in any part that would be forwarded. The last bytes of an answer are held back until its end is seen and usage is recorded; an answer that breaks off aborts the connection.

--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -19,8 +19,6 @@
 
 /// Rounds of asking while home instances move or can't be reached.
 const MAX_ROUNDS: u32 = 5;
-/// Divides the time left into the wait above which the second candidate is preferred.
-const WAIT_BOUND_DIVISOR: u32 = 4;
 /// Time after which a repeat has a chance when no backend server takes work.
 const OUT_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -35,6 +33,8 @@
     pub estimated_tokens: u64,
     /// Backend servers not to ask, such as ones that failed this request.
     pub avoid: BTreeSet<BackendServerName>,
+    /// Hash of the leading part of the prompt; equal for requests that share a prefix.
+    pub prefix: u64,
     /// Whether the backend server must be able to go on after a part of an answer.
     pub resume: bool,
 }
@@ -87,9 +87,8 @@
     let candidates = pick::candidates(&entry.cx, work, wish);
     let mut passed_over = None;
     let mut last = AdmitError::Out;
-    for (index, server) in candidates.iter().enumerate() {
-        let has_other = index + 1 < candidates.len();
-        match entry.admitter.admit(ask(work, wish, server, has_other)).await {
+    for (server, wait_bound) in &candidates {
+        match entry.admitter.admit(ask(work, wish, server, *wait_bound)).await {
             Ok(permit) => return Ok((permit, server.clone())),
             Err(AdmitError::WaitAboveBound(_)) => passed_over = Some(server),
             Err(error) => last = worse(last, error),
@@ -97,14 +96,14 @@
     }
     match passed_over {
         Some(server) => {
-            let permit = entry.admitter.admit(ask(work, wish, server, false)).await?;
+            let permit = entry.admitter.admit(ask(work, wish, server, None)).await?;
             Ok((permit, server.clone()))
         }
         None => Err(last),
     }
 }
 
-fn ask(work: &Work, wish: &Wish, server: &BackendServer, has_other: bool) -> Ask {
+fn ask(work: &Work, wish: &Wish, server: &BackendServer, wait_bound: Option<Duration>) -> Ask {
     let left = work.time_left();
     // A later attempt has missed its target already or goes on with a started answer.
     let deadline = (wish.attempt == 0).then_some(left);
@@ -116,7 +115,7 @@
         prompt_tokens: wish.prompt_tokens,
         estimated_tokens: wish.estimated_tokens,
         deadline,
-        wait_bound: has_other.then_some(left / WAIT_BOUND_DIVISOR),
+        wait_bound,
         repeatable: work.repeatable,
         attempt: wish.attempt,
     }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -58,12 +58,14 @@
         Self { denial: Denial::new(code, message), ending, reason, retry: true }
     }
 
-    fn silent() -> Self {
+    /// The backend server sent nothing within the bound.
+    pub fn silent() -> Self {
         let message = "the backend server went silent";
         Self::new(RefusalCode::BackendTimeout, "silent", message)
     }
 
-    fn broken() -> Self {
+    /// The connection broke.
+    pub fn broken() -> Self {
         let message = "the connection to the backend server broke";
         Self::new(RefusalCode::BackendFailed, "broken", message)
     }
@@ -72,13 +74,21 @@
         Self::new(RefusalCode::BackendFailed, "bad-stream", fault.as_str())
     }
 
-    fn not_connected() -> Self {
+    /// The connection could not be opened.
+    pub fn not_connected() -> Self {
         let message = "the backend server can't be reached";
         let failure = Self::new(RefusalCode::NoBackendServer, "connect", message);
         Self { ending: Ending::ServerFailed, ..failure }
     }
 
-    fn overloaded() -> Self {
+    /// The end of the answer could not be told from a broken connection.
+    pub fn undelimited() -> Self {
+        let message = "the backend server's answer has no marked end";
+        Self::new(RefusalCode::BackendFailed, "undelimited", message)
+    }
+
+    /// The backend server refused the request before any work.
+    pub fn overloaded() -> Self {
         let message = "the backend server is over its limit";
         let failure = Self::new(RefusalCode::BackendFailed, "overloaded", message);
         Self { ending: Ending::Overloaded, ..failure }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -5,6 +5,7 @@
 use super::auth::{Caller, Denial};
 use crate::config::Tier;
 use crate::outcome::RefusalCode;
+use crate::peer::members::weight;
 
 /// Body fields that are forwarded to a model engine; all others are dropped.
 ///
@@ -37,6 +38,9 @@
 /// Characters of prompt text that make about one token.
 const CHARS_PER_TOKEN: u64 = 4;
 
+/// Characters at the start of a prompt that count as its leading part.
+const PREFIX_CHARS: usize = 1_024;
+
 /// Which of the two forms a request has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -94,6 +98,8 @@
     pub prompt_tokens: u64,
     /// Output tokens expected.
     pub estimated_tokens: u64,
+    /// Hash of the leading part of the prompt.
+    pub prefix: u64,
     fields: Map<String, Value>,
 }
 
@@ -134,6 +140,7 @@
             include_usage,
             prompt_tokens: prompt_tokens.max(1),
             estimated_tokens,
+            prefix: prefix_hash(fields.get(kind.input_field())),
             fields,
         })
     }
@@ -229,7 +236,18 @@
     }
 }
 
-fn holds_key(value: &Value, caller: &Caller) -> bool {
+/// Returns a hash of the first message, or of the start of the prompt.
+fn prefix_hash(input: Option<&Value>) -> u64 {
+    let text = match input {
+        Some(Value::Array(messages)) => messages.first().map(Value::to_string),
+        Some(Value::String(prompt)) => Some(prompt.chars().take(PREFIX_CHARS).collect()),
+        _ => None,
+    };
+    weight("", &text.unwrap_or_default())
+}
+
+/// Returns whether a text within a value holds the caller's key.
+pub fn holds_key(value: &Value, caller: &Caller) -> bool {
     match value {
         Value::String(text) => caller.key_is_in(text.as_bytes()),
         Value::Array(values) => values.iter().any(|value| holds_key(value, caller)),
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -8,18 +8,21 @@
 use tracing::Instrument;
 
 use super::Entry;
-use super::auth::{self, Denial};
+use super::auth::{self, Denial, Guard};
 use super::chat::{ChatRequest, Kind};
 use super::models;
 use super::once::{self, Start};
+use super::plain::PlainRequest;
+use super::plain_relay::PlainRelay;
 use super::relay::Relay;
 use super::reply::Reply;
 use super::sink;
 use super::work::Work;
 use crate::claim::StoredAnswer;
 use crate::claim::record::content_hash;
+use crate::config::{Config, Route};
 use crate::names::RequestId;
-use crate::outcome::{RefusalCode, Unsent};
+use crate::outcome::{Refusal, RefusalCode, Unsent};
 
 /// Header that names work which must run at most once.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -69,7 +72,7 @@
             ("/v1/models", &Method::GET) => return self.list_models(req),
             ("/v1/chat/completions", &Method::POST) => Kind::Chat,
             ("/v1/completions", &Method::POST) => Kind::Completion,
-            _ => return Err(Denial::new(RefusalCode::NotFound, "no such path")),
+            _ => return self.start_plain(req, id).await,
         };
         self.start_chat(req, id, kind).await
     }
@@ -108,6 +111,53 @@
         Ok(self.serve_chat(work, chat, idempotency_key, content_hash).await)
     }
 
+    async fn start_plain(&self, req: &mut Request, id: &RequestId) -> Result<Reply, Denial> {
+        let received = Instant::now();
+        let key = auth::presented_key(req.headers())?;
+        let in_force = self.cx.in_force.borrow().clone();
+        let route = plain_route(&in_force.config, req.uri().path())?;
+        auth::authorise(&in_force, key.clone(), route)?;
+        let idempotency_key = idempotency_key(req)?;
+        let body = self.read_body(req).await?;
+        // What is in force may have changed while the body came in.
+        let in_force = self.cx.in_force.borrow().clone();
+        let route = plain_route(&in_force.config, req.uri().path())?;
+        let caller = auth::authorise(&in_force, key, route)?;
+        let class = auth::choose_class(&in_force, &caller, route, req.headers())?;
+        let request = PlainRequest::build(req.method(), req.uri(), req.headers(), body, &caller)?;
+        let repeatable = auth::is_repeatable(&in_force.config, &class, route);
+        let route = route.name.clone();
+        let work = Work { id: id.clone(), caller, class, route, repeatable, received };
+        Ok(self.serve_plain(work, request, idempotency_key).await)
+    }
+
+    async fn serve_plain(&self, work: Work, request: PlainRequest, key: Option<String>) -> Reply {
+        let claimed_key = key.as_deref().filter(|_| !work.repeatable);
+        let hash = || content_hash(request.method.as_str(), &request.target, &request.body);
+        let organisation = &work.caller.organisation;
+        let start = once::claim(&self.claims, &work.id, organisation, claimed_key, hash).await;
+        let once = match start {
+            Start::Go(once) => once,
+            Start::Replay(answer) => {
+                let body = answer.body.bytes().unwrap_or_default();
+                return Reply::Replay(answer.status, answer.headers, body);
+            }
+            Start::Refused(refusal) => return self.refused(&work, refusal),
+        };
+        let guard = Guard::new(self.cx.in_force.clone(), work.caller.clone(), work.route.clone());
+        let (sink, source) = sink::channel(false, self.cx.options.progress_bound);
+        let entry = self.clone();
+        let idempotency_key = key;
+        let relay = PlainRelay { entry, work, request, idempotency_key, once, sink, guard };
+        tokio::spawn(relay.run().in_current_span());
+        Reply::from_source(source).await
+    }
+
+    fn refused(&self, work: &Work, refusal: Refusal) -> Reply {
+        work.note_refusal(&self.cx, &refusal);
+        Reply::Refused(refusal)
+    }
+
     async fn serve_chat(
         &self,
         work: Work,
@@ -122,10 +172,7 @@
         let once = match start {
             Start::Go(once) => once,
             Start::Replay(answer) => return replay_chat(&answer, &chat),
-            Start::Refused(refusal) => {
-                work.note_refusal(&self.cx, &refusal);
-                return Reply::Refused(refusal);
-            }
+            Start::Refused(refusal) => return self.refused(&work, refusal),
         };
         let key = key.filter(|_| !work.repeatable);
         let (sink, source) = sink::channel(chat.streamed, self.cx.options.progress_bound);
@@ -164,6 +211,11 @@
     Reply::Replay(answer.status, headers, events)
 }
 
+fn plain_route<'a>(config: &'a Config, path: &str) -> Result<&'a Route, Denial> {
+    let route = config.path_route(path);
+    route.ok_or_else(|| Denial::new(RefusalCode::NotFound, "no such path"))
+}
+
 /// Reads the idempotency key of a request.
 fn idempotency_key(req: &Request) -> Result<Option<String>, Denial> {
     let bad = || Denial::new(RefusalCode::BadRequest, "\"Idempotency-Key\" is malformed");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -3,6 +3,7 @@
 //! [`server`] accepts connections and [`handler`] takes each request. A chat request is served by
 //! a task of its own, a [`relay`], which asks for a slot ([`admit`]), sends the request
 //! ([`attempt`]) and passes the checked answer ([`chunk`]) to the caller ([`sink`]). Requests to
+//! plain services go the same way in [`plain_relay`]. Requests to
 //! plain services go the same way in [`plain`].
 
 pub mod admit;
@@ -17,6 +18,8 @@
 pub mod models;
 pub mod once;
 pub mod pick;
+pub mod plain;
+pub mod plain_relay;
 pub mod relay;
 pub mod reply;
 pub mod retry;
--- a/src/entry/pick.rs
+++ b/src/entry/pick.rs
@@ -1,37 +1,64 @@
 //! Choice of the backend servers to ask for a slot.
 
-use rand::seq::SliceRandom;
+use std::time::Duration;
 
 use super::admit::Wish;
 use super::work::Work;
-use crate::config::{BackendServer, ServerKind};
+use crate::config::{BackendServer, InForce};
 use crate::context::Context;
+use crate::home::pick::{Picker, Wish as PickerWish};
 use crate::names::BackendServerName;
+use crate::peer::Loads;
 
-/// Backend servers asked for each attempt.
-const MAX_CANDIDATES: usize = 2;
+/// A backend server to ask, with the wait above which the next one is preferred.
+pub type Choice = (BackendServer, Option<Duration>);
 
-/// Returns at most two backend servers that take work, the least loaded first.
-pub fn candidates(cx: &Context, work: &Work, wish: &Wish) -> Vec<BackendServer> {
+/// Returns at most two backend servers that take work, the better one first.
+///
+/// Servers that failed this request come back only when there is no other.
+pub fn candidates(cx: &Context, work: &Work, wish: &Wish) -> Vec<Choice> {
     let in_force = cx.in_force.borrow().clone();
-    let mut servers: Vec<&BackendServer> = in_force
-        .config
-        .servers_of(&work.route)
-        .filter(|server| in_force.takes_work(server) && !wish.avoid.contains(&server.name))
-        .collect();
-    if !work.repeatable && servers.iter().any(|server| server.kind == ServerKind::Standard) {
-        servers.retain(|server| server.kind == ServerKind::Standard);
-    }
-    servers.shuffle(&mut rand::rng());
-    servers.sort_by_cached_key(|server| load(cx, &server.name));
-    servers.into_iter().take(MAX_CANDIDATES).cloned().collect()
+    let loads = cx.loads.borrow().clone();
+    let failed: Vec<BackendServerName> = wish.avoid.iter().cloned().collect();
+    let unfit = if wish.resume { not_resuming(&in_force, &loads, work) } else { Vec::new() };
+    let found = pick(cx, &in_force, &loads, work, wish, &[failed, unfit.clone()].concat());
+    if found.is_empty() { pick(cx, &in_force, &loads, work, wish, &unfit) } else { found }
+}
+
+fn pick(
+    cx: &Context,
+    in_force: &InForce,
+    loads: &Loads,
+    work: &Work,
+    wish: &Wish,
+    exclude: &[BackendServerName],
+) -> Vec<Choice> {
+    let Some(route) = in_force.config.routes.get(&work.route) else { return Vec::new() };
+    let members = cx.members.borrow().clone();
+    let wish = PickerWish {
+        route,
+        class: &work.class,
+        prefix: wish.prefix,
+        seed: rand::random(),
+        exclude,
+    };
+    let picker = Picker::new(cx.options.data_centre.clone());
+    picker
+        .candidates(in_force, &members, loads, &wish)
+        .into_iter()
+        .filter_map(|candidate| {
+            let server = in_force.config.backend_servers.get(&candidate.server)?;
+            Some((server.clone(), candidate.wait_bound))
+        })
+        .collect()
 }
 
-/// Returns a key that is lower for a backend server with more room.
-fn load(cx: &Context, server: &BackendServerName) -> (bool, bool, u32, u32) {
-    let loads = cx.loads.borrow();
-    loads.get(server).map_or((false, false, 0, 0), |load| {
-        let used = (load.running + load.waiting) * 100 / load.limit.max(1);
-        (load.ejected, load.cold, load.wait_ms, used)
-    })
+/// Returns the servers that can't go on after a part of an answer.
+fn not_resuming(in_force: &InForce, loads: &Loads, work: &Work) -> Vec<BackendServerName> {
+    in_force
+        .config
+        .servers_of(&work.route)
+        .filter(|server| !loads.get(&server.name).is_some_and(|load| load.resumes))
+        .map(|server| server.name.clone())
+        .collect()
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -78,6 +78,7 @@
         let wish = Wish {
             prompt_tokens: chat.prompt_tokens,
             estimated_tokens: chat.estimated_tokens,
+            prefix: chat.prefix,
             ..Wish::default()
         };
         Self {
--- a/src/entry/sink.rs
+++ b/src/entry/sink.rs
@@ -143,6 +143,13 @@
         }
     }
 
+    /// Ends with a refusal, or aborts the answer of a plain service that began.
+    pub fn refuse_plain(mut self, refusal: Refusal) {
+        if let Some(head) = self.head.take() {
+            let _ = head.send(Head::Refused(refusal));
+        }
+    }
+
     /// Begins the answer of a plain service.
     pub fn start_plain(&mut self, status: StatusCode, headers: HeaderMap) {
         if let Some(head) = self.head.take() {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -92,12 +92,8 @@
     let membership = Membership::start(cx.clone(), homes.clone(), outputs)?;
     tokio::spawn(compare_configs(heard_rx, config.clone()));
 
-    let peers = PeerService {
-        cx: cx.clone(),
-        membership,
-        config: config.clone(),
-        ledger: ledger.clone(),
-    };
+    let peers =
+        PeerService { cx: cx.clone(), membership, config: config.clone(), ledger: ledger.clone() };
     let mut peers = tokio::spawn(serve_peers(sockets.peers, cx.clone(), peers, homes));
     let admin = admin::serve(sockets.admin, cx.clone(), config);
     let mut admin = tokio::spawn(admin);
@@ -135,8 +131,12 @@
         loads,
         draining,
     };
-    let views =
-        Views { in_force: in_force_tx, members: members_tx, loads: loads_tx, draining: draining_tx };
+    let views = Views {
+        in_force: in_force_tx,
+        members: members_tx,
+        loads: loads_tx,
+        draining: draining_tx,
+    };
     Ok((cx, views))
 }
 
