--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -73,7 +73,7 @@
     ) -> Result<Response<FetchConfigReply>, Status> {
         let req = req.into_inner();
         let want_members = req.want_members;
-        let mut reply = self.config.fetch(req);
+        let mut reply = self.config.fetch(req).await;
         if want_members && let Some(list) = self.membership.current_list().await {
             reply.members_revision = list.revision;
             reply.members = serde_json::to_vec(&list)
