--- /dev/null
+++ b/tests/config_support/mod.rs
@@ -0,0 +1,196 @@
+//! Instances that hold the configuration only, on a stand-in platform.
+#![allow(dead_code)]
+
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use laburnumvalve::clock::Clock;
+use laburnumvalve::config::{self, Config, ConfigHandle, InForce, KeyHash};
+use laburnumvalve::context::Context;
+use laburnumvalve::event::Recorder;
+use laburnumvalve::metrics::Metrics;
+use laburnumvalve::names::KeyId;
+use laburnumvalve::options::{Options, Secret};
+use laburnumvalve::peer::generated::v1::peer_server::{Peer, PeerServer};
+use laburnumvalve::peer::generated::v1::{
+    BeatReply, BeatRequest, FetchConfigReply, FetchConfigRequest, KeepUsageReply, KeepUsageRequest,
+    SpreadReply, SpreadRequest, TimelineReply, TimelineRequest,
+};
+use laburnumvalve::peer::{Member, Members, Pool};
+use laburnumvalve::platform::Objects;
+use laburnumvalve::timer::Timer;
+use standins::{Platform, PlatformSettings};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status};
+
+/// Administration secret of the tests.
+pub const ADMIN_SECRET: &str = "admin-secret-of-the-tests";
+/// Time after which a condition counts as not reached.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An instance without the parts that serve requests.
+pub struct Node {
+    pub cx: Context,
+    pub config: ConfigHandle,
+    pub member: Member,
+    members: watch::Sender<Arc<Members>>,
+    pub draining: watch::Sender<bool>,
+}
+
+pub async fn start_platform() -> Platform {
+    Platform::start(PlatformSettings::default()).await.expect("the platform can't be started")
+}
+
+/// Starts a node on a platform; `seeds` are asked at the start.
+pub async fn start_node(name: &str, platform: &str, seeds: &[&Node]) -> Node {
+    let listener = TcpListener::bind(standins::ANY_PORT).await.expect("no port can be bound");
+    let address = listener.local_addr().expect("a bound port has an address");
+    let options = Options {
+        instance: name.into(),
+        data_centre: "kolkata-a".into(),
+        platform: platform.to_owned(),
+        peer_listen: address,
+        seeds: seeds.iter().map(|seed| seed.cx.options.peer_listen).collect(),
+        admin_secret: Secret::new(ADMIN_SECRET),
+        ..Options::default()
+    };
+    let (in_force_tx, in_force) = watch::channel(Arc::default());
+    let (members_tx, members) = watch::channel(Arc::default());
+    let (_, loads) = watch::channel(Arc::default());
+    let (draining_tx, draining) = watch::channel(false);
+    let clock = Clock::default();
+    let cx = Context {
+        incarnation: 1,
+        recorder: Recorder::new(options.instance.clone(), clock.clone()),
+        clock,
+        timer: Timer::start(),
+        metrics: Metrics::default(),
+        objects: Objects::new(platform).expect("the client can't be built"),
+        pool: Pool::new(&Secret::new("fleet-secret-of-the-tests")).expect("a plain secret"),
+        options: Arc::new(options),
+        in_force,
+        members,
+        loads,
+        draining,
+    };
+    let config = config::start(cx.clone(), in_force_tx);
+    let service = PeerServer::new(ConfigPeer(config.clone()));
+    let server = tonic::transport::Server::builder().add_service(service);
+    tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(listener)));
+    let member = Member {
+        name: name.into(),
+        data_centre: "kolkata-a".into(),
+        peer_address: address.to_string(),
+        leaving: false,
+    };
+    Node { cx, config, member, members: members_tx, draining: draining_tx }
+}
+
+impl Node {
+    pub fn in_force(&self) -> Arc<InForce> {
+        self.cx.in_force.borrow().clone()
+    }
+
+    pub fn version(&self) -> u64 {
+        self.in_force().config.version
+    }
+
+    /// Returns whether a key is accepted here.
+    pub fn accepts(&self, key: &str) -> bool {
+        self.in_force().valid_key(&KeyHash::of(key)).is_some()
+    }
+
+    /// Passes what a beat of another node would say.
+    pub fn hear(&self, other: &Node) {
+        let state = other.config.state();
+        self.config.heard(&other.member, state.version(), state.digest());
+    }
+
+    /// Issues a key and returns it with its identifier.
+    pub async fn issue(&self) -> (KeyId, String) {
+        let issued = self.config.issue_key("shobdo".into(), None, Vec::new()).await;
+        let issued = issued.expect("the key is refused");
+        (issued.id, issued.key)
+    }
+
+    pub async fn until_version(&self, version: u64) {
+        eventually("a version is in force", async || self.version() >= version).await;
+    }
+}
+
+/// Lets nodes know of each other.
+pub fn introduce(nodes: &[&Node]) {
+    let listed: std::collections::BTreeMap<_, _> =
+        nodes.iter().map(|node| (node.member.name.clone(), node.member.clone())).collect();
+    for node in nodes {
+        let members = Members { revision: 1, listed: listed.clone(), ..Members::default() };
+        node.members.send_replace(Arc::new(members));
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, holds: impl Fn() -> F) {
+    let wait = async {
+        while !holds().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, wait).await.unwrap_or_else(|_| panic!("never: {what}"));
+}
+
+/// Returns a configuration whose organisation `shobdo` has the given weight.
+pub fn config_of_weight(weight: u32) -> Config {
+    laburnumvalve::sheet::parse(sheet_of_weight(weight).as_bytes()).expect("a sound sheet")
+}
+
+/// Returns the sheet of [`config_of_weight`].
+pub fn sheet_of_weight(weight: u32) -> String {
+    format!(
+        "table,name,tier,first-token-ms,token-gap-ms,repeatable,model,access,class,weight,region,data-centre,address,routes,slots,cold-limit,in-service
+class,live,0,500,50,yes,,,,,,,,,,,
+route,timing,,,,,timing-model,granted,live,,,,,,,,
+organisation,shobdo,,,,,,,,{weight},,,,timing,,,
+organisation,marrowgate,,,,,,,,1,,,,timing,,,
+data-centre,kolkata-a,,,,,,,,,bengal-east,,,,,,yes
+backend-server,engine-1,,,,,,,,,,kolkata-a,http://10.0.0.7:8000,timing,8,2,yes
+"
+    )
+}
+
+/// The part of the peer service that concerns the configuration.
+struct ConfigPeer(ConfigHandle);
+
+#[tonic::async_trait]
+impl Peer for ConfigPeer {
+    async fn beat(&self, _: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
+        Err(Status::unimplemented("not part of the test"))
+    }
+
+    async fn fetch_config(
+        &self,
+        req: Request<FetchConfigRequest>,
+    ) -> Result<Response<FetchConfigReply>, Status> {
+        Ok(Response::new(self.0.fetch(req.into_inner()).await))
+    }
+
+    async fn spread(&self, req: Request<SpreadRequest>) -> Result<Response<SpreadReply>, Status> {
+        Ok(Response::new(self.0.receive(req.into_inner()).await))
+    }
+
+    async fn keep_usage(
+        &self,
+        _: Request<KeepUsageRequest>,
+    ) -> Result<Response<KeepUsageReply>, Status> {
+        Err(Status::unimplemented("not part of the test"))
+    }
+
+    async fn timeline(
+        &self,
+        _: Request<TimelineRequest>,
+    ) -> Result<Response<TimelineReply>, Status> {
+        Err(Status::unimplemented("not part of the test"))
+    }
+}
