Separate planning an edit from writing it, and test versions and marks

The plan of an edit is free of input and output now, so that the property test runs the product's own code over random interleavings of edits, messages, losses and restarts. 19 tests of the configuration passed (config_state, config_spread, config_edits).

--- a/src/config/handle.rs
+++ b/src/config/handle.rs
@@ -6,9 +6,10 @@
 use tokio::sync::{mpsc, watch};
 
 use super::convert::{mark_to_message, marks_from_messages};
-use super::edit::{Accepted, ApplyError, Edit, Editor};
+use super::edit::Editor;
 use super::model::{Config, Key, KeyHash};
 use super::persist::Persister;
+use super::plan::{Accepted, ApplyError, Edit};
 use super::pull::{Pull, Pulls, run_pulls};
 use super::spread::{Audience, spread};
 use super::start::bootstrap;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -6,6 +6,7 @@
 pub mod marks;
 pub mod model;
 pub mod persist;
+pub mod plan;
 pub mod pull;
 pub mod root;
 pub mod shard;
@@ -16,13 +17,13 @@
 pub mod task;
 pub mod watcher;
 
-pub use edit::{Accepted, ApplyError};
 pub use handle::{ConfigHandle, Issued, MarkOutcome, start};
 pub use marks::{Mark, MarkTarget, Marks};
 pub use model::{
     Access, BackendServer, Class, Config, DataCentre, Key, KeyHash, Organisation, Repeatability,
     Route, RouteTarget, ServerKind, Tier,
 };
+pub use plan::{Accepted, ApplyError};
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/src/config/plan.rs
@@ -0,0 +1,219 @@
+//! Works out what an edit makes of the stored configuration, without input or output.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::model::{Config, Key, KeyHash};
+use super::root::{NextRoot, Root};
+use super::shard::{MAX_SHARD_BYTES, Shard, Shards, join, split};
+use super::{InForce, Marks};
+use crate::clock::{Clock, Hlc};
+
+/// A change of the stored configuration.
+#[derive(Debug, Clone)]
+pub enum Edit {
+    /// Replaces all that a sheet holds.
+    Sheet {
+        /// The new records; keys and version are ignored.
+        config: Box<Config>,
+        /// Version that the operator worked from.
+        based_on: u64,
+    },
+    /// Adds a key.
+    AddKey(KeyHash, Key),
+    /// Takes the withdrawn keys of the marks into the records.
+    Fold,
+}
+
+/// The result of an accepted edit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Accepted {
+    /// Version in force from now on.
+    pub version: u64,
+    /// Whether the edit changed anything.
+    pub changed: bool,
+}
+
+/// Why an edit was not accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ApplyError {
+    /// Another operator was faster; nothing was changed.
+    Conflict {
+        /// Version in force.
+        in_force: u64,
+    },
+    /// The named part is too large to be stored; nothing was changed.
+    TooLarge(String),
+    /// The edit names an organisation or class that does not exist; nothing was changed.
+    UnknownName(String),
+    /// The platform can't be reached; nothing was changed.
+    Unavailable(String),
+    /// No answer came in time: the edit may have been accepted.
+    Unknown(String),
+}
+
+impl std::fmt::Display for ApplyError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Conflict { in_force } => {
+                write!(f, "version {in_force} is in force; nothing was changed")
+            }
+            Self::TooLarge(part) => write!(f, "{part} is too large; nothing was changed"),
+            Self::UnknownName(name) => write!(f, "{name} is unknown; nothing was changed"),
+            Self::Unavailable(why) => write!(f, "nothing was changed: {why}"),
+            Self::Unknown(why) => write!(f, "it is unknown whether it was accepted: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for ApplyError {}
+
+/// The stored configuration that an edit starts from.
+#[derive(Debug, Clone, Default)]
+pub struct Stored {
+    /// The root; none if no configuration was ever accepted.
+    pub root: Option<Arc<Root>>,
+    /// The shards of the root.
+    pub shards: Shards,
+    /// All known marks that the root does not overrule.
+    pub marks: Marks,
+}
+
+/// The version that an edit makes.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// The root that replaces the stored one.
+    pub root: Arc<Root>,
+    /// All its shards.
+    pub shards: Shards,
+    /// Shards to delete once the root is accepted.
+    pub deleted: Vec<String>,
+}
+
+/// What an edit would make of the records.
+struct Proposal {
+    config: Config,
+    service_as_of: Hlc,
+    sheet_changed: bool,
+}
+
+impl Stored {
+    /// Returns the stored version; 0 if there is none.
+    pub fn version(&self) -> u64 {
+        self.root.as_ref().map_or(0, |root| root.version)
+    }
+
+    fn service_as_of(&self) -> Hlc {
+        self.root.as_ref().map_or(Hlc::default(), |root| root.service_as_of)
+    }
+
+    /// Returns the stored records with the withdrawn keys of the marks taken in.
+    fn folded_config(&self) -> Config {
+        let mut config = join(self.version(), self.shards.values());
+        for (hash, key) in &mut config.keys {
+            key.withdrawn |= self.marks.is_withdrawn(hash);
+        }
+        config
+    }
+}
+
+/// Works out the next version; none if the edit changes nothing.
+///
+/// `id` tells the edit from all others; `now_ms` is the wall-clock time.
+///
+/// # Errors
+/// If the edit can't be accepted.
+pub fn plan(
+    edit: &Edit,
+    stored: &Stored,
+    id: &str,
+    clock: &Clock,
+    now_ms: u64,
+) -> Result<Option<Plan>, ApplyError> {
+    let Some(proposal) = propose(edit, stored, clock)? else { return Ok(None) };
+    let named =
+        split(&proposal.config).map_err(|error| ApplyError::Unavailable(error.to_string()))?;
+    check_sizes(&named)?;
+    let previous = stored.root.as_deref();
+    let deleted = previous.map(|root| root.deletable(&named, now_ms)).unwrap_or_default();
+    let next = NextRoot {
+        edit: id,
+        shards: &named,
+        sheet_changed: proposal.sheet_changed,
+        service_as_of: proposal.service_as_of,
+        deleted: &deleted,
+        now_ms,
+    };
+    let root = Arc::new(Root::next(previous, &next));
+    let shards = named.into_values().map(|shard| (shard.hash().to_owned(), shard)).collect();
+    Ok(Some(Plan { root, shards, deleted }))
+}
+
+fn check_sizes(named: &BTreeMap<String, Shard>) -> Result<(), ApplyError> {
+    let too_large = named.iter().find(|(_, shard)| shard.encoded_len() > MAX_SHARD_BYTES);
+    too_large.map_or(Ok(()), |(name, _)| Err(ApplyError::TooLarge(name.clone())))
+}
+
+/// Works out the new records; none if the edit changes nothing.
+fn propose(edit: &Edit, stored: &Stored, clock: &Clock) -> Result<Option<Proposal>, ApplyError> {
+    match edit {
+        Edit::Sheet { config, based_on } => propose_sheet(config, *based_on, stored, clock),
+        Edit::AddKey(hash, key) => propose_key(hash, key, stored).map(Some),
+        Edit::Fold => Ok(propose_fold(stored)),
+    }
+}
+
+fn propose_sheet(
+    config: &Config,
+    based_on: u64,
+    stored: &Stored,
+    clock: &Clock,
+) -> Result<Option<Proposal>, ApplyError> {
+    let version = stored.version();
+    let sheet_version = stored.root.as_ref().map_or(0, |root| root.sheet_version);
+    if based_on < sheet_version || based_on > version {
+        return Err(ApplyError::Conflict { in_force: version });
+    }
+    let folded = stored.folded_config();
+    let in_force =
+        InForce { config: Arc::new(folded.clone()), marks: Arc::new(stored.marks.clone()) };
+    if version > 0 && same_sheet(&in_force.effective(), config) {
+        return Ok(None);
+    }
+    let latest_mark = stored.marks.latest_service().unwrap_or_default();
+    let known = Hlc(latest_mark.0.max(stored.service_as_of().0) + 1);
+    let config = Config { keys: folded.keys, ..config.clone() };
+    let service_as_of = clock.now().max(known);
+    Ok(Some(Proposal { config, service_as_of, sheet_changed: true }))
+}
+
+fn propose_key(hash: &KeyHash, key: &Key, stored: &Stored) -> Result<Proposal, ApplyError> {
+    let mut config = stored.folded_config();
+    if !config.organisations.contains_key(&key.organisation) {
+        return Err(ApplyError::UnknownName(format!("organisation \"{}\"", key.organisation)));
+    }
+    let mut classes = key.default_class.iter().chain(&key.allowed_classes);
+    if let Some(class) = classes.find(|class| !config.classes.contains_key(*class)) {
+        return Err(ApplyError::UnknownName(format!("class \"{class}\"")));
+    }
+    config.keys.insert(hash.clone(), key.clone());
+    let service_as_of = stored.service_as_of();
+    Ok(Proposal { config, service_as_of, sheet_changed: false })
+}
+
+fn propose_fold(stored: &Stored) -> Option<Proposal> {
+    let before = join(stored.version(), stored.shards.values());
+    let config = stored.folded_config();
+    let changed = before.keys != config.keys;
+    let service_as_of = stored.service_as_of();
+    changed.then_some(Proposal { config, service_as_of, sheet_changed: false })
+}
+
+/// Returns whether two configurations hold the same sheet, whatever their keys.
+fn same_sheet(a: &Config, b: &Config) -> bool {
+    a.organisations == b.organisations
+        && a.classes == b.classes
+        && a.routes == b.routes
+        && a.data_centres == b.data_centres
+        && a.backend_servers == b.backend_servers
+}
--- /dev/null
+++ b/tests/config_state.rs
@@ -0,0 +1,377 @@
+//! Versions and marks over many interleavings of edits, messages, losses and restarts.
+
+use std::sync::Arc;
+
+use laburnumvalve::clock::{Clock, Hlc};
+use laburnumvalve::config::plan::{Edit, Plan, Stored, plan};
+use laburnumvalve::config::root::Root;
+use laburnumvalve::config::shard::Shards;
+use laburnumvalve::config::state::{Adoption, State};
+use laburnumvalve::config::{Config, Key, KeyHash, Mark, MarkTarget, Marks, Organisation};
+use proptest::prelude::*;
+
+const REPLICAS: usize = 3;
+/// Wall-clock time of all edits; shards never expire in this test.
+const NOW_MS: u64 = 1;
+
+/// One step; indexes are taken modulo what exists.
+#[derive(Debug, Clone)]
+enum Step {
+    /// An operator applies a sheet at a replica; its answer may be lost, so that it is sent again.
+    Sheet {
+        at: usize,
+        weight: u32,
+        answer_lost: bool,
+    },
+    /// An edit is planned at one replica, overtaken by another one, and tried again.
+    Race {
+        at: usize,
+        weight: u32,
+    },
+    IssueKey {
+        at: usize,
+    },
+    Withdraw {
+        at: usize,
+        key: usize,
+    },
+    Service {
+        at: usize,
+        in_service: bool,
+    },
+    /// A replica writes its marks to the platform.
+    Persist {
+        at: usize,
+    },
+    Fold {
+        at: usize,
+    },
+    /// A replica asks the platform; the answer travels.
+    Read {
+        to: usize,
+    },
+    /// A replica sends what it holds to another one.
+    Send {
+        from: usize,
+        to: usize,
+    },
+    /// A travelling message arrives, and may arrive again later.
+    Deliver {
+        message: usize,
+        again: bool,
+    },
+    Lose {
+        message: usize,
+    },
+    /// A replica starts anew with nothing.
+    Restart {
+        at: usize,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let at = 0..REPLICAS;
+    prop_oneof![
+        2 => (at.clone(), 1..5u32, any::<bool>())
+            .prop_map(|(at, weight, answer_lost)| Step::Sheet { at, weight, answer_lost }),
+        1 => (at.clone(), 1..5u32).prop_map(|(at, weight)| Step::Race { at, weight }),
+        2 => at.clone().prop_map(|at| Step::IssueKey { at }),
+        3 => (at.clone(), any::<usize>()).prop_map(|(at, key)| Step::Withdraw { at, key }),
+        2 => (at.clone(), any::<bool>())
+            .prop_map(|(at, in_service)| Step::Service { at, in_service }),
+        2 => at.clone().prop_map(|at| Step::Persist { at }),
+        1 => at.clone().prop_map(|at| Step::Fold { at }),
+        4 => at.clone().prop_map(|to| Step::Read { to }),
+        4 => (at.clone(), at.clone()).prop_map(|(from, to)| Step::Send { from, to }),
+        8 => (any::<usize>(), any::<bool>())
+            .prop_map(|(message, again)| Step::Deliver { message, again }),
+        1 => any::<usize>().prop_map(|message| Step::Lose { message }),
+        1 => at.prop_map(|at| Step::Restart { at }),
+    ]
+}
+
+/// What travels between two replicas, or from the platform.
+#[derive(Clone)]
+struct Message {
+    to: usize,
+    root: Option<Arc<Root>>,
+    shards: Shards,
+    marks: Vec<Mark>,
+}
+
+/// The platform, the replicas and the messages under way.
+#[derive(Default)]
+struct World {
+    stored: Stored,
+    replicas: [State; REPLICAS],
+    /// Keys that each replica has refused since its start.
+    refused: [Vec<KeyHash>; REPLICAS],
+    messages: Vec<Message>,
+    clock: Clock,
+    edits: u64,
+}
+
+impl World {
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Sheet { at, weight, answer_lost } => {
+                let id = self.next_id();
+                let edit = Edit::Sheet {
+                    config: Box::new(sheet(weight)),
+                    based_on: self.stored.version(),
+                };
+                let version = self.run(at, &edit, &id);
+                if answer_lost {
+                    assert_eq!(self.run(at, &edit, &id), version, "a repeated edit doubled");
+                }
+            }
+            Step::Race { at, weight } => self.race(at, weight),
+            Step::IssueKey { at } => {
+                let id = self.next_id();
+                self.run(at, &Edit::AddKey(KeyHash(id.clone()), key(&id)), &id);
+            }
+            Step::Withdraw { at, key } => self.withdraw(at, key),
+            Step::Service { at, in_service } => {
+                let as_of = self.replicas[at].root().map_or(Hlc::default(), |r| r.service_as_of);
+                let latest = self.replicas[at].marks().latest_service().unwrap_or_default();
+                let at_hlc = self.clock.now().max(Hlc(as_of.max(latest).0 + 1));
+                let target = MarkTarget::DataCentre("kolkata-a".into());
+                let mark = Mark::Service { target, at: at_hlc, in_service };
+                self.replicas[at].merge(&[mark]);
+            }
+            Step::Persist { at } => self.persist(at),
+            Step::Fold { at } => {
+                let id = self.next_id();
+                self.run(at, &Edit::Fold, &id);
+            }
+            Step::Read { to } => {
+                let marks = self.stored.marks.iter().collect();
+                let (root, shards) = (self.stored.root.clone(), self.stored.shards.clone());
+                self.messages.push(Message { to, root, shards, marks });
+            }
+            Step::Send { from, to } => self.send(from, to),
+            Step::Deliver { message, again } => self.deliver(message, again),
+            Step::Lose { message } if !self.messages.is_empty() => {
+                let message = message % self.messages.len();
+                self.messages.swap_remove(message);
+            }
+            Step::Lose { .. } => {}
+            Step::Restart { at } => {
+                self.replicas[at] = State::default();
+                self.refused[at].clear();
+            }
+        }
+    }
+
+    fn next_id(&mut self) -> String {
+        self.edits += 1;
+        format!("edit-{}", self.edits)
+    }
+
+    /// Plans an edit at a replica against the platform's copy, as an editor does.
+    fn plan(&self, at: usize, edit: &Edit, id: &str) -> Option<Plan> {
+        let mut stored = self.stored.clone();
+        for mark in self.replicas[at].marks().iter() {
+            stored.marks.merge(mark);
+        }
+        let as_of = stored.root.as_ref().map_or(Hlc::default(), |root| root.service_as_of);
+        stored.marks.retain(|mark| !matches!(mark, Mark::Service { at, .. } if *at <= as_of));
+        plan(edit, &stored, id, &self.clock, NOW_MS).ok().flatten()
+    }
+
+    /// Runs an edit to its end; returns the version that it made, if any.
+    fn run(&mut self, at: usize, edit: &Edit, id: &str) -> Option<u64> {
+        if let Some(version) = self.stored.root.as_ref().and_then(|r| r.version_of_edit(id)) {
+            return Some(version);
+        }
+        let plan = self.plan(at, edit, id)?;
+        let version = plan.root.version;
+        self.accept(plan);
+        Some(version)
+    }
+
+    fn accept(&mut self, plan: Plan) {
+        assert_eq!(plan.root.version, self.stored.version() + 1);
+        self.stored.root = Some(plan.root);
+        self.stored.shards = plan.shards;
+    }
+
+    /// Of two sheets planned from one version, the second must not replace the first.
+    fn race(&mut self, at: usize, weight: u32) {
+        let based_on = self.stored.version();
+        let edit = |weight| Edit::Sheet { config: Box::new(sheet(weight)), based_on };
+        let (first, second) = (self.next_id(), self.next_id());
+        let Some(plan) = self.plan(at, &edit(weight), &first) else { return };
+        self.accept(plan);
+        // The second one's conditional update fails, so it plans again from what is stored now.
+        assert!(self.plan(at, &edit(weight + 10), &second).is_none(), "an edit was overwritten");
+    }
+
+    fn withdraw(&mut self, at: usize, key: usize) {
+        let keys: Vec<KeyHash> = self.replicas[at].in_force().config.keys.keys().cloned().collect();
+        if !keys.is_empty() {
+            let hash = keys[key % keys.len()].clone();
+            self.replicas[at].merge(&[Mark::KeyWithdrawn(hash)]);
+        }
+    }
+
+    fn persist(&mut self, at: usize) {
+        let state = &self.replicas[at];
+        let mut merged: Marks = self.stored.marks.clone();
+        let changed =
+            state.marks().iter().fold(false, |changed, mark| merged.merge(mark) | changed);
+        if changed {
+            merged.retain(|mark| !state.contains(mark));
+            self.stored.marks = merged;
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize) {
+        let state = &self.replicas[from];
+        let marks = state.marks().iter().collect();
+        let (root, shards) = (state.root().cloned(), Shards::clone(state.shards()));
+        self.messages.push(Message { to, root, shards, marks });
+    }
+
+    fn deliver(&mut self, message: usize, again: bool) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let message = message % self.messages.len();
+        let arrived = match again {
+            true => self.messages[message].clone(),
+            false => self.messages.swap_remove(message),
+        };
+        self.take(arrived);
+    }
+
+    fn take(&mut self, message: Message) {
+        let replica = &mut self.replicas[message.to];
+        let before = replica.version();
+        if let Some(root) = message.root {
+            let adoption = replica.adopt(root, &message.shards);
+            assert!(!matches!(adoption, Adoption::Incomplete(_) | Adoption::Diverged));
+        }
+        replica.merge(&message.marks);
+        assert!(replica.version() >= before, "a version went back");
+    }
+
+    /// Checks that no key comes back at a replica that has refused it.
+    fn check(&mut self) {
+        for (replica, refused) in self.replicas.iter().zip(&mut self.refused) {
+            let in_force = replica.in_force();
+            for hash in in_force.config.keys.keys() {
+                match in_force.valid_key(hash) {
+                    Some(_) => assert!(!refused.contains(hash), "{hash:?} came back"),
+                    None if !refused.contains(hash) => refused.push(hash.clone()),
+                    None => {}
+                }
+            }
+        }
+    }
+
+    /// Delivers everything and compares the replicas.
+    fn settle(&mut self) {
+        let refused: Vec<KeyHash> = self.refused.concat();
+        for at in 0..REPLICAS {
+            self.step(Step::Read { to: at });
+            self.step(Step::Persist { at });
+        }
+        for _ in 0..2 {
+            for (from, to) in [(0, 1), (1, 2), (2, 0), (0, 2), (2, 1), (1, 0)] {
+                self.send(from, to);
+            }
+            while !self.messages.is_empty() {
+                self.deliver(0, false);
+            }
+        }
+        self.check();
+        let first = &self.replicas[0];
+        for other in &self.replicas[1..] {
+            assert_eq!(other.version(), first.version());
+            assert_eq!(other.digest(), first.digest());
+            assert_eq!(other.in_force().effective(), first.in_force().effective());
+        }
+        assert_eq!(first.version(), self.stored.version());
+        for hash in refused {
+            assert!(first.in_force().valid_key(&hash).is_none(), "{hash:?} came back everywhere");
+        }
+    }
+}
+
+fn sheet(weight: u32) -> Config {
+    let organisation = Organisation {
+        name: "shobdo".into(),
+        weight,
+        tokens_per_minute: None,
+        max_running: None,
+        max_waiting: 1,
+    };
+    let mut config = Config::default();
+    config.organisations.insert(organisation.name.clone(), organisation);
+    config
+}
+
+fn key(id: &str) -> Key {
+    Key {
+        id: id.into(),
+        organisation: "shobdo".into(),
+        default_class: None,
+        allowed_classes: Default::default(),
+        withdrawn: false,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_000, ..ProptestConfig::default() })]
+
+    #[test]
+    fn versions_and_withdrawals_never_go_back(steps in proptest::collection::vec(step(), 1..80)) {
+        let mut world = World::default();
+        world.step(Step::Sheet { at: 0, weight: 9, answer_lost: false });
+        for step in steps {
+            world.step(step);
+            world.check();
+        }
+        world.settle();
+    }
+}
+
+#[test]
+fn an_older_or_diverged_root_is_ignored() {
+    let mut ours = World::default();
+    let mut theirs = World::default();
+    for (world, weight) in [(&mut ours, 1), (&mut theirs, 2)] {
+        world.step(Step::Sheet { at: 0, weight, answer_lost: false });
+        world.step(Step::IssueKey { at: 0 });
+        world.step(Step::Read { to: 0 });
+        world.deliver(0, false);
+    }
+    let diverged = theirs.stored.root.clone().expect("a root is stored");
+    let replica = &mut ours.replicas[0];
+    let before = replica.in_force().config;
+
+    let adoption = replica.adopt(diverged, &theirs.stored.shards);
+
+    assert_eq!(adoption, Adoption::Diverged);
+    assert_eq!(replica.in_force().config, before);
+    ours.step(Step::Sheet { at: 0, weight: 3, answer_lost: false });
+    let newer = ours.stored.root.clone().expect("a root is stored");
+    let old = ours.replicas[0].root().cloned().expect("a root is in force");
+    let replica = &mut ours.replicas[0];
+    assert_eq!(replica.adopt(newer, &ours.stored.shards), Adoption::Adopted);
+    assert_eq!(replica.adopt(old, &ours.stored.shards), Adoption::Older);
+    assert_eq!(replica.version(), 3);
+}
+
+#[test]
+fn a_root_without_all_shards_changes_nothing() {
+    let mut world = World::default();
+    world.step(Step::Sheet { at: 0, weight: 1, answer_lost: false });
+    let root = world.stored.root.clone().expect("a root is stored");
+
+    let adoption = world.replicas[0].adopt(root, &Shards::new());
+
+    assert!(matches!(adoption, Adoption::Incomplete(missing) if !missing.is_empty()));
+    assert_eq!(world.replicas[0].version(), 0);
+}
--- a/tests/config_support/mod.rs
+++ b/tests/config_support/mod.rs
@@ -9,7 +9,7 @@
 use laburnumvalve::config::{self, Config, ConfigHandle, InForce, KeyHash};
 use laburnumvalve::context::Context;
 use laburnumvalve::event::Recorder;
-use laburnumvalve::metrics::Metrics;
+use laburnumvalve::metrics::{Counter, Metrics};
 use laburnumvalve::names::KeyId;
 use laburnumvalve::options::{Options, Secret};
 use laburnumvalve::peer::generated::v1::peer_server::{Peer, PeerServer};
@@ -116,6 +116,12 @@
         (issued.id, issued.key)
     }
 
+    /// Returns the calls to the platform that this node made.
+    pub fn platform_calls(&self) -> u64 {
+        let kinds = ["root-read", "shard-read", "marks-read", "watch"];
+        kinds.iter().map(|kind| self.cx.metrics.counter(Counter::PlatformCalls, kind)).sum()
+    }
+
     pub async fn until_version(&self, version: u64) {
         eventually("a version is in force", async || self.version() >= version).await;
     }
