--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -5,8 +5,8 @@
 
 use super::generated::v1::peer_server::{Peer, PeerServer};
 use super::generated::v1::{
-    BeatReply, BeatRequest, FetchConfigReply, FetchConfigRequest, KeepUsageReply,
-    KeepUsageRequest, SpreadReply, SpreadRequest, TimelineReply, TimelineRequest,
+    BeatReply, BeatRequest, FetchConfigReply, FetchConfigRequest, KeepUsageReply, KeepUsageRequest,
+    SpreadReply, SpreadRequest, TimelineReply, TimelineRequest,
 };
 use super::membership::Membership;
 use super::pool::{MAX_MESSAGE, SECRET_HEADER};
@@ -92,9 +92,10 @@
         &self,
         req: Request<KeepUsageRequest>,
     ) -> Result<Response<KeepUsageReply>, Status> {
-        let kept = self.ledger.keep(req.into_inner()).await;
-        kept.map_err(|full| Status::resource_exhausted(full.to_string()))?;
-        Ok(Response::new(KeepUsageReply {}))
+        match self.ledger.keep(req.into_inner()).await {
+            Ok(()) => Ok(Response::new(KeepUsageReply {})),
+            Err(full) => Err(Status::resource_exhausted(full.to_string())),
+        }
     }
 
     async fn timeline(
