Limit organisations over all instances

Cause: tokens a minute and running requests of an organisation hold for the fleet, so one instance found by rendezvous hashing divides them by reported use. Ruled out: counting only what was given (an instance whose allowance shrank still runs more; its running requests count instead). Box the call in a permit, which keeps enums that hold one small. The limits have no test yet.

--- a/src/home/client.rs
+++ b/src/home/client.rs
@@ -107,7 +107,7 @@
 #[derive(Debug)]
 pub struct Permit {
     cold: bool,
-    call: Option<Call>,
+    call: Option<Box<Call>>,
 }
 
 /// The open call to the home instance.
@@ -258,7 +258,7 @@
         let reply = within(REPLY_TIMEOUT, call.replies.message()).await?;
         match reply.and_then(|reply| reply.message) {
             Some(Reply::Granted(granted)) => {
-                return Ok(Permit { cold: granted.cold, call: Some(call) });
+                return Ok(Permit { cold: granted.cold, call: Some(Box::new(call)) });
             }
             Some(Reply::Refused(refused)) => return Err(refusal(&refused)),
             Some(Reply::Queued(_)) => {}
--- a/src/home/homes.rs
+++ b/src/home/homes.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
+use super::limits_task::OrganisationLimits;
 use super::poll;
 use super::task::{self, Message, QueueHandle};
 use super::tenure::Standing;
@@ -28,7 +29,7 @@
 const HAND_OVER_PERIOD: Duration = Duration::from_millis(500);
 /// How long a queue task may take to list its requests.
 const IN_FLIGHT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Period at which loads are published and changes are looked for that no channel announces.
+/// Period at which changes are looked for that no channel announces.
 const REVIEW_PERIOD: Duration = Duration::from_millis(250);
 
 /// Time between two reviews from which this process must have been paused.
@@ -43,13 +44,20 @@
 #[derive(Clone)]
 pub struct Homes {
     queues: watch::Receiver<Arc<Queues>>,
-    loads: watch::Receiver<Arc<Vec<ServerLoad>>>,
+    limits: OrganisationLimits,
 }
 
 impl Homes {
-    /// Returns the load of each backend server that this instance is home of, updated regularly.
-    pub fn loads(&self) -> watch::Receiver<Arc<Vec<ServerLoad>>> {
-        self.loads.clone()
+    /// Returns the limits of organisations over all instances.
+    pub fn limits(&self) -> OrganisationLimits {
+        self.limits.clone()
+    }
+
+    /// Returns the load of each backend server that this instance is home of.
+    pub fn loads(&self) -> Vec<ServerLoad> {
+        let queues = self.queues.borrow().clone();
+        let active = queues.values().filter(|queue| queue.active);
+        active.map(|queue| queue.load.borrow().clone()).collect()
     }
 
     /// Returns the queue of a backend server if this instance is its home.
@@ -73,32 +81,24 @@
 /// Starts the task that keeps the queues in step with configuration and members.
 pub fn start(cx: Context) -> Homes {
     let (tx, queues) = watch::channel(Arc::default());
-    let (loads_tx, loads) = watch::channel(Arc::default());
     let http = reqwest::Client::builder()
         .no_proxy()
         .redirect(reqwest::redirect::Policy::none())
         .connect_timeout(Duration::from_secs(1))
         .build()
         .unwrap_or_default();
+    let limits = OrganisationLimits::start(cx.clone());
     let now = Instant::now();
-    let supervisor = Supervisor {
-        cx,
-        http,
-        tx,
-        loads: loads_tx,
-        queues: Queues::new(),
-        reviewed: now,
-        doubt_until: now,
-    };
+    let supervisor =
+        Supervisor { cx, http, tx, queues: Queues::new(), reviewed: now, doubt_until: now };
     tokio::spawn(supervisor.run());
-    Homes { queues, loads }
+    Homes { queues, limits }
 }
 
 struct Supervisor {
     cx: Context,
     http: reqwest::Client,
     tx: watch::Sender<Arc<Queues>>,
-    loads: watch::Sender<Arc<Vec<ServerLoad>>>,
     queues: Queues,
     reviewed: Instant,
     doubt_until: Instant,
@@ -223,9 +223,6 @@
     }
 
     fn publish(&self) {
-        let active = self.queues.values().filter(|queue| queue.active);
-        let loads = active.map(|queue| queue.load.borrow().clone()).collect();
-        self.loads.send_replace(Arc::new(loads));
         self.tx.send_replace(Arc::new(self.queues.clone()));
     }
 }
--- /dev/null
+++ b/src/home/limits.rs
@@ -0,0 +1,307 @@
+//! Limits of organisations over all instances: decisions, without input or output.
+//!
+//! One instance, found by rendezvous hashing over the usable ones, divides each organisation's
+//! limits among the instances that use them. Every instance reports its use once per
+//! [`REPORT_PERIOD`] and gets an allowance that is valid for [`ALLOWANCE_VALIDITY`].
+//!
+//! What was given to an instance counts until its validity has passed, also if the instance has
+//! gone, and what it reported as running counts if that is more. Error bound of running requests:
+//! with one divider the fleet never exceeds the limit. When the divider changes, allowances of the
+//! old one stay valid for at most [`ALLOWANCE_VALIDITY`], and the new one gives only equal parts in
+//! that time, so the fleet stays within twice the limit (plus one request for each instance where
+//! the limit is below the number of instances) and what runs then falls to the limit as requests
+//! end. An instance that can't reach the divider falls back to an equal part, with the same bound
+//! while it lasts. Tokens are taken from a bucket filled at the allowance; an answer that is longer
+//! than estimated is charged when it ends, so that the bucket goes below zero and later requests
+//! pay for it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::config::Organisation;
+use crate::names::{InstanceName, OrganisationName};
+
+/// Period of reports to the divider.
+pub const REPORT_PERIOD: Duration = Duration::from_secs(1);
+/// Time for which an allowance is valid.
+pub const ALLOWANCE_VALIDITY: Duration = Duration::from_secs(4);
+/// Seconds in the period of the token limit.
+const TOKEN_PERIOD_SECONDS: u64 = 60;
+/// Time of unused tokens that a bucket holds.
+const BURST: Duration = Duration::from_secs(10);
+
+/// What an organisation may use at one instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Allowance {
+    /// Requests running at once; no limit if absent.
+    pub running: Option<u32>,
+    /// Tokens a minute; no limit if absent.
+    pub tokens: Option<u64>,
+}
+
+/// What an organisation uses at one instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Use {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests refused since the last report because of the limit.
+    pub refused: u32,
+    /// Tokens used since the last report.
+    pub tokens: u64,
+}
+
+/// What one instance reported and was given.
+#[derive(Debug, Clone, Copy)]
+struct Claim {
+    wanted: u64,
+    tokens: u64,
+    held: u64,
+    given_tokens: u64,
+    until: Instant,
+}
+
+/// The claims on one organisation's limits.
+#[derive(Debug)]
+struct Claims {
+    since: Instant,
+    by_instance: BTreeMap<InstanceName, Claim>,
+}
+
+/// Divides the limits of organisations among instances.
+#[derive(Debug, Default)]
+pub struct Divider {
+    claims: BTreeMap<OrganisationName, Claims>,
+}
+
+impl Divider {
+    /// Returns the allowance of an instance that reports its use; `instances` are usable.
+    pub fn report(
+        &mut self,
+        now: Instant,
+        organisation: &Organisation,
+        instance: &InstanceName,
+        used: Use,
+        instances: usize,
+    ) -> Allowance {
+        let claims = self.claims_on(now, &organisation.name);
+        let (running, tokens) = claims.taken_by_others(instance);
+        let wanted = u64::from(used.running) + u64::from(used.refused) + 1;
+        let wanted_tokens = used.tokens * TOKEN_PERIOD_SECONDS + 1;
+        let mut given = Allowance {
+            running: organisation
+                .max_running
+                .map(|limit| running.give(limit.into(), wanted) as u32),
+            tokens: organisation.tokens_per_minute.map(|limit| tokens.give(limit, wanted_tokens)),
+        };
+        if now < claims.since + ALLOWANCE_VALIDITY {
+            given = given.at_most(equal_part(organisation, instances));
+        }
+        let claim = Claim {
+            wanted,
+            tokens: wanted_tokens,
+            held: u64::from(given.running.unwrap_or(0).max(used.running)),
+            given_tokens: given.tokens.unwrap_or(0),
+            until: now + ALLOWANCE_VALIDITY,
+        };
+        claims.by_instance.insert(instance.clone(), claim);
+        given
+    }
+
+    /// Returns the claims on an organisation that still count.
+    fn claims_on(&mut self, now: Instant, organisation: &OrganisationName) -> &mut Claims {
+        self.claims.retain(|_, claims| {
+            claims.by_instance.retain(|_, claim| claim.until > now);
+            !claims.by_instance.is_empty()
+        });
+        self.claims
+            .entry(organisation.clone())
+            .or_insert_with(|| Claims { since: now, by_instance: BTreeMap::new() })
+    }
+}
+
+impl Claims {
+    fn taken_by_others(&self, instance: &InstanceName) -> (Taken, Taken) {
+        let (mut running, mut tokens) = (Taken::default(), Taken::default());
+        for (_, claim) in self.by_instance.iter().filter(|(name, _)| *name != instance) {
+            running.add(claim.held, claim.wanted);
+            tokens.add(claim.given_tokens, claim.tokens);
+        }
+        (running, tokens)
+    }
+}
+
+impl Allowance {
+    fn at_most(self, other: Self) -> Self {
+        Self {
+            running: self.running.zip(other.running).map(|(own, other)| own.min(other)),
+            tokens: self.tokens.zip(other.tokens).map(|(own, other)| own.min(other)),
+        }
+    }
+}
+
+/// What the other instances hold and want of one limit.
+#[derive(Debug, Default)]
+struct Taken {
+    given: u64,
+    wanted: u64,
+    sharers: u64,
+}
+
+impl Taken {
+    fn add(&mut self, given: u64, wanted: u64) {
+        self.given += given;
+        self.wanted += wanted;
+        self.sharers += 1;
+    }
+
+    /// Returns the part of a limit for an instance, within what the others have not been given.
+    ///
+    /// Without scarcity the rest is divided evenly; otherwise each gets its part of what is wanted.
+    fn give(&self, limit: u64, wanted: u64) -> u64 {
+        let free = limit.saturating_sub(self.given);
+        let all = self.wanted + wanted;
+        let part = if all <= limit {
+            wanted + (limit - all) / (self.sharers + 1)
+        } else {
+            let exact = u128::from(limit) * u128::from(wanted) / u128::from(all.max(1));
+            (exact as u64).max(1)
+        };
+        part.min(free)
+    }
+}
+
+/// What one instance knows of one organisation's limits.
+#[derive(Debug, Clone)]
+pub struct Account {
+    allowance: Allowance,
+    valid_until: Option<Instant>,
+    running: u32,
+    refused: u32,
+    tokens_since_report: u64,
+    bucket: f64,
+    filled: Instant,
+}
+
+/// Why a request may not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OverLimit {
+    /// Too many requests of the organisation run; the time after which to try again.
+    Running(Duration),
+    /// The organisation used its tokens; the time after which to try again.
+    Tokens(Duration),
+}
+
+impl Account {
+    /// Makes the account of an organisation that begins to use this instance.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            allowance: Allowance { running: None, tokens: None },
+            valid_until: None,
+            running: 0,
+            refused: 0,
+            tokens_since_report: 0,
+            bucket: 0.0,
+            filled: now - BURST,
+        }
+    }
+
+    /// Takes over an allowance that was asked for at an instant.
+    ///
+    /// The validity counts from before the question was sent, so that it never outlasts the
+    /// divider's.
+    pub fn allow(
+        &mut self,
+        now: Instant,
+        asked: Instant,
+        allowance: Allowance,
+        fallback: Allowance,
+    ) {
+        self.fill(now, self.current(now, fallback));
+        self.allowance = allowance;
+        self.valid_until = Some(asked + ALLOWANCE_VALIDITY);
+    }
+
+    /// Begins a request, if the allowance or, without a valid one, the fallback has room.
+    ///
+    /// # Errors
+    /// Says which limit the request would exceed.
+    pub fn try_start(&mut self, now: Instant, fallback: Allowance) -> Result<(), OverLimit> {
+        let current = self.current(now, fallback);
+        self.fill(now, current);
+        if current.running.is_some_and(|limit| self.running >= limit) {
+            self.refused += 1;
+            return Err(OverLimit::Running(REPORT_PERIOD));
+        }
+        if let Some(tokens) = current.tokens
+            && self.bucket < 0.0
+        {
+            let rate = per_second(tokens).max(0.1);
+            return Err(OverLimit::Tokens(Duration::from_secs_f64(
+                (-self.bucket / rate).min(60.0),
+            )));
+        }
+        self.running += 1;
+        Ok(())
+    }
+
+    /// Charges tokens.
+    pub fn used(&mut self, now: Instant, tokens: u64, fallback: Allowance) {
+        self.fill(now, self.current(now, fallback));
+        self.bucket -= tokens as f64;
+        self.tokens_since_report += tokens;
+    }
+
+    /// Ends a request.
+    pub fn ended(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Returns whether nothing runs and nothing is left to report.
+    pub fn is_idle(&self) -> bool {
+        self.running == 0
+            && self.refused == 0
+            && self.tokens_since_report == 0
+            && self.bucket >= 0.0
+    }
+
+    /// Returns what is to be reported and begins a new report.
+    pub fn take_use(&mut self) -> Use {
+        let used =
+            Use { running: self.running, refused: self.refused, tokens: self.tokens_since_report };
+        self.refused = 0;
+        self.tokens_since_report = 0;
+        used
+    }
+
+    fn current(&self, now: Instant, fallback: Allowance) -> Allowance {
+        let valid = self.valid_until.is_some_and(|until| now < until);
+        if valid { self.allowance } else { fallback }
+    }
+
+    /// Adds the tokens that became free since the last time.
+    fn fill(&mut self, now: Instant, current: Allowance) {
+        let passed = now.saturating_duration_since(self.filled);
+        self.filled = now;
+        let Some(tokens) = current.tokens else {
+            self.bucket = 0.0;
+            return;
+        };
+        let most = per_second(tokens) * BURST.as_secs_f64();
+        self.bucket = (self.bucket + per_second(tokens) * passed.as_secs_f64()).min(most);
+    }
+}
+
+/// Returns the part of an organisation's limits for one of several equal instances.
+pub fn equal_part(organisation: &Organisation, instances: usize) -> Allowance {
+    let instances = instances.max(1);
+    Allowance {
+        running: organisation.max_running.map(|limit| (limit / instances as u32).max(1)),
+        tokens: organisation.tokens_per_minute.map(|limit| (limit / instances as u64).max(1)),
+    }
+}
+
+fn per_second(tokens_per_minute: u64) -> f64 {
+    tokens_per_minute as f64 / TOKEN_PERIOD_SECONDS as f64
+}
--- a/src/home/mod.rs
+++ b/src/home/mod.rs
@@ -11,6 +11,8 @@
 pub mod health;
 pub mod homes;
 pub mod limit;
+pub mod limits;
+pub mod limits_task;
 pub mod occupancy;
 pub mod pace;
 pub mod pick;
@@ -23,5 +25,6 @@
 
 pub use client::{AdmitError, Admitter, Ask, Ending, Figures, Permit};
 pub use homes::{Homes, start};
-pub use pick::{Candidate, Picker};
+pub use limits_task::{OrganisationLimits, Started};
+pub use pick::{Candidate, Picker, Wish};
 pub use service::service;
--- a/src/home/service.rs
+++ b/src/home/service.rs
@@ -67,9 +67,9 @@
 
     async fn report_use(
         &self,
-        _req: Request<ReportUseRequest>,
+        req: Request<ReportUseRequest>,
     ) -> Result<Response<ReportUseReply>, Status> {
-        Err(Status::unimplemented("limits of organisations"))
+        Ok(Response::new(self.homes.limits().divide(req.get_ref())))
     }
 }
 
