Ask the other homes again after a doubt, and prove the cold limit over interleavings

Cause: a property test over cuts in one direction, freezes and late reports found 5 requests on a server that bears 4: a home whose doubt had ended widened before the slots that another home had granted meanwhile were in any report (two cuts of 2 s, reports 1 s late). Ruled out: waiting for a later report only; it can be older than the other home's last grant. Now a doubt, also one that followed from a pause, makes the home ask the others again and count what they admitted. A retired queue can be resumed, so that its running requests don't keep a home from serving.

--- a/src/home/admission.rs
+++ b/src/home/admission.rs
@@ -136,15 +136,27 @@
         self.config = config;
     }
 
+    /// Begins a new tenure after another instance may have been home.
+    pub fn begin_tenure(&mut self, now: Instant, standing: Standing) {
+        self.tenure = Tenure::new(now, standing);
+    }
+
     /// Takes over a renewed standing.
     pub fn set_standing(&mut self, now: Instant, standing: Standing) {
         self.tenure.set_standing(now, standing);
     }
 
-    /// Takes note that no earlier home grants slots any more, with the requests it had admitted.
-    pub fn previous_gave_up(&mut self, now: Instant, in_flight: u32) {
-        self.tenure.previous_gave_up();
-        self.occupancy.adopt(now, in_flight);
+    /// Takes note that no other instance was home when all were asked, with the requests that they
+    /// had admitted.
+    pub fn previous_gave_up(&mut self, now: Instant, asked: Instant, in_flight: u32) {
+        if self.tenure.previous_gave_up(asked) {
+            self.occupancy.adopt(now, in_flight);
+        }
+    }
+
+    /// Returns whether the other instances are to be asked whether they are home.
+    pub fn must_ask(&self) -> bool {
+        self.tenure.must_ask()
     }
 
     /// Takes over what is known of the other servers of the routes.
@@ -256,6 +268,11 @@
         self.grant(now)
     }
 
+    /// Takes note that the server doesn't report its load.
+    pub fn unreported(&mut self) {
+        self.limit.set_unreported();
+    }
+
     /// Decides what follows from the passing of time alone.
     pub fn tick(&mut self, now: Instant) -> Vec<Decision> {
         self.occupancy.expire(now);
@@ -312,7 +329,7 @@
         let limit = self.limit.value();
         if self.limit.is_cold() {
             let foreign = self.occupancy.foreign_at_most();
-            return self.tenure.cold_allowance(now, limit, foreign, self.occupancy.has_reports());
+            return self.tenure.cold_allowance(now, limit, foreign, self.limit.is_unreported());
         }
         limit.saturating_sub(self.occupancy.foreign())
     }
--- a/src/home/health.rs
+++ b/src/home/health.rs
@@ -8,6 +8,10 @@
 
 use tokio::time::Instant;
 
+use crate::config::{BackendServer, Config};
+use crate::names::RouteName;
+use crate::peer::Loads;
+
 /// Failures in a row after which a server is ejected.
 const MAX_FAILURES: u32 = 3;
 /// Slow requests in a row after which a server is ejected.
@@ -35,6 +39,30 @@
 }
 
 impl Peers {
+    /// Works out what the reported loads tell of the other servers of a server's routes.
+    pub fn of(server: &BackendServer, config: &Config, loads: &Loads) -> Self {
+        let views = server.routes.iter().map(|route| Self::on_route(server, route, config, loads));
+        views.min_by_key(|peers| peers.servers).unwrap_or_default()
+    }
+
+    fn on_route(server: &BackendServer, route: &RouteName, config: &Config, loads: &Loads) -> Self {
+        let mut peers = Self { servers: 1, ..Self::default() };
+        let mut gaps = Vec::new();
+        for other in config.servers_of(route).filter(|other| other.name != server.name) {
+            peers.servers += 1;
+            let Some(load) = loads.get(&other.name) else { continue };
+            peers.ejected += usize::from(load.ejected);
+            peers.ejected_first += usize::from(load.ejected && other.name < server.name);
+            if load.token_gap_us > 0 {
+                gaps.push(load.token_gap_us);
+            }
+        }
+        gaps.sort_unstable();
+        let median = gaps.get(gaps.len() / 2);
+        peers.token_gap = median.map(|gap| Duration::from_micros(u64::from(*gap)));
+        peers
+    }
+
     /// Returns how many servers may be ejected at once.
     pub fn max_ejected(&self) -> usize {
         match self.servers {
--- a/src/home/homes.rs
+++ b/src/home/homes.rs
@@ -7,10 +7,11 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
+use super::health::Peers;
 use super::limits_task::OrganisationLimits;
 use super::poll;
 use super::task::{self, Message, QueueHandle};
-use super::tenure::Standing;
+use super::tenure::{PauseWatch, Standing, left_behind, to_ask};
 use crate::config::{BackendServer, InForce};
 use crate::context::Context;
 use crate::names::BackendServerName;
@@ -20,11 +21,6 @@
 
 /// How long the question to a previous home may take.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Ranks of the home order whose instances a home checks.
-///
-/// An instance of a later rank can become home only if it hears none of these, and its share of a
-/// cold limit below 32 is zero then.
-const CHECKED_RANKS: usize = 4;
 /// Period at which the question is repeated.
 const HAND_OVER_PERIOD: Duration = Duration::from_millis(500);
 /// How long a queue task may take to list its requests.
@@ -32,11 +28,6 @@
 /// Period at which changes are looked for that no channel announces.
 const REVIEW_PERIOD: Duration = Duration::from_millis(250);
 
-/// Time between two reviews from which this process must have been paused.
-const PAUSE: Duration = Duration::from_millis(1_500);
-/// Time after a pause in which what is known of the members may be out of date.
-const DOUBT_AFTER_PAUSE: Duration = Duration::from_secs(3);
-
 /// The queues by backend server.
 pub type Queues = BTreeMap<BackendServerName, QueueHandle>;
 
@@ -89,8 +80,14 @@
         .unwrap_or_default();
     let limits = OrganisationLimits::start(cx.clone());
     let now = Instant::now();
-    let supervisor =
-        Supervisor { cx, http, tx, queues: Queues::new(), reviewed: now, doubt_until: now };
+    let supervisor = Supervisor {
+        cx,
+        http,
+        tx,
+        queues: Queues::new(),
+        pauses: PauseWatch::new(now),
+        paused: false,
+    };
     tokio::spawn(supervisor.run());
     Homes { queues, limits }
 }
@@ -100,8 +97,8 @@
     http: reqwest::Client,
     tx: watch::Sender<Arc<Queues>>,
     queues: Queues,
-    reviewed: Instant,
-    doubt_until: Instant,
+    pauses: PauseWatch,
+    paused: bool,
 }
 
 impl Supervisor {
@@ -127,11 +124,7 @@
 
     /// Starts, informs and retires queues so that they match what is known now.
     fn review(&mut self) {
-        let now = Instant::now();
-        if now.duration_since(self.reviewed) > PAUSE {
-            self.doubt_until = now + DOUBT_AFTER_PAUSE;
-        }
-        self.reviewed = now;
+        self.paused = self.pauses.in_doubt(Instant::now());
         let in_force = self.cx.in_force.borrow().clone();
         let members = self.cx.members.borrow().clone();
         let draining = *self.cx.draining.borrow();
@@ -182,70 +175,49 @@
 
     /// Starts the queue of a server, or tells the running one what changed.
     fn keep(&mut self, server: &BackendServer, in_force: &InForce, members: &Members) {
-        let standing = self.standing(server, members);
+        let own = &self.cx.options.instance;
+        let standing = Standing::of(own, server, members);
+        let standing = Standing { doubt: standing.doubt || self.paused, ..standing };
         let config = in_force.config.clone();
-        if let Some(queue) = self.queues.get(&server.name).filter(|queue| queue.active) {
+        if let Some(queue) = self.queues.get_mut(&server.name) {
+            let resumed = !queue.active && queue.tx.try_send(Message::Resume(standing)).is_ok();
+            queue.active |= resumed;
+            let loads = self.cx.loads.borrow().clone();
             // A full mailbox is tried again at the next review.
             let _ = queue.tx.try_send(Message::Standing(standing));
+            let _ = queue.tx.try_send(Message::Peers(Peers::of(server, &config, &loads)));
             let _ = queue.tx.try_send(Message::Configure(server.clone(), config));
             return;
         }
-        if self.queues.contains_key(&server.name) {
-            // The retired task still holds running requests; it ends when they do.
-            return;
-        }
         let queue = task::start(&self.cx, server.clone(), config, standing);
         let address = server.address.clone();
         let timer = self.cx.timer.clone();
         tokio::spawn(poll::run(self.http.clone(), address, timer, queue.tx.clone()));
-        let previous = self.previous(server, members);
-        tokio::spawn(ask_previous(self.cx.clone(), server.name.clone(), previous, queue.clone()));
+        tokio::spawn(ask_others(self.cx.clone(), server.clone(), queue.clone()));
         self.queues.insert(server.name.clone(), queue);
     }
 
-    /// Returns the rank of this instance for a server and whether a near one may not hear it.
-    fn standing(&self, server: &BackendServer, members: &Members) -> Standing {
-        let own = &self.cx.options.instance;
-        let order = members.home_order(&server.name, &server.data_centre);
-        let rank = order.iter().position(|member| member.name == *own).unwrap_or(order.len());
-        let mut others = order.iter().filter(|member| member.name != *own).take(CHECKED_RANKS);
-        let doubt = others.any(|member| !members.certain.contains(&member.name));
-        let paused = Instant::now() < self.doubt_until;
-        Standing { rank: rank as u32, doubt: doubt || paused }
-    }
-
-    /// Returns the other instances that are likely to have been home before.
-    fn previous(&self, server: &BackendServer, members: &Members) -> Vec<Member> {
-        let own = &self.cx.options.instance;
-        let order = members.home_order(&server.name, &server.data_centre);
-        let others = order.into_iter().filter(|member| member.name != *own && !member.leaving);
-        others.take(CHECKED_RANKS).cloned().collect()
-    }
-
     fn publish(&self) {
         self.tx.send_replace(Arc::new(self.queues.clone()));
     }
 }
 
-/// Asks the other instances whether one of them is home too, until none is.
-async fn ask_previous(
-    cx: Context,
-    server: BackendServerName,
-    previous: Vec<Member>,
-    queue: QueueHandle,
-) {
+/// Asks the other instances whether one of them is home too, as long as the queue needs to know.
+async fn ask_others(cx: Context, server: BackendServer, mut queue: QueueHandle) {
     let mut ticks = cx.timer.every(HAND_OVER_PERIOD);
-    loop {
-        let asked = previous.iter().map(|member| ask_in_flight(&cx, &server, member));
-        let replies: Vec<Option<InFlightReply>> = futures::future::join_all(asked).await;
+    // The wait fails when the queue's task has ended.
+    while queue.must_ask.wait_for(|must_ask| *must_ask).await.is_ok() {
+        let asked_at = Instant::now();
+        let members = cx.members.borrow().clone();
+        let others = to_ask(&cx.options.instance, &server, &members);
+        let calls = others.iter().map(|member| ask_in_flight(&cx, &server.name, member));
+        let replies: Vec<Option<InFlightReply>> = futures::future::join_all(calls).await;
         if let Some(in_flight) = left_behind(&replies) {
             // The queue may have ended meanwhile; then there is nobody to tell.
-            let _ = queue.tx.send(Message::PreviousGaveUp(in_flight)).await;
-            return;
+            let _ = queue.tx.send(Message::PreviousGaveUp(asked_at, in_flight)).await;
         }
-        tokio::select! {
-            tick = ticks.recv() => if tick.is_none() { return },
-            () = queue.tx.closed() => return,
+        if ticks.recv().await.is_none() {
+            return;
         }
     }
 }
@@ -261,11 +233,3 @@
     let reply = tokio::time::timeout(HAND_OVER_TIMEOUT, client.in_flight(req)).await;
     Some(reply.ok()?.ok()?.into_inner())
 }
-
-/// Returns how many requests run from earlier tenures, if all are known to have ended.
-fn left_behind(replies: &[Option<InFlightReply>]) -> Option<u32> {
-    replies.iter().try_fold(0, |sum, reply| {
-        let reply = reply.as_ref()?;
-        (!reply.active).then_some(sum + reply.entries.len() as u32)
-    })
-}
--- a/src/home/limit.rs
+++ b/src/home/limit.rs
@@ -30,6 +30,9 @@
 /// Factor by which the limit grows after each run of successes on the way to warm.
 const RAMP_FACTOR: f64 = 1.5;
 
+/// Time since its start after which an engine seen for the first time counts as warmed up.
+const SETTLED_UPTIME_MS: u64 = 60_000;
+
 /// Whether a backend server bears its full load.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Phase {
@@ -60,7 +63,9 @@
     token_gap: Option<f64>,
     first_token: Option<f64>,
     generation: Option<(u64, u64)>,
-    reports: bool,
+    unreported: bool,
+    /// The limit at the time of a failure that may have been a restart.
+    before_failure: Option<f64>,
 }
 
 impl Limit {
@@ -74,7 +79,8 @@
             token_gap: None,
             first_token: None,
             generation: None,
-            reports: false,
+            unreported: false,
+            before_failure: None,
         }
     }
 
@@ -144,7 +150,7 @@
             Phase::Cold { since, successes } => {
                 let successes = successes + 1;
                 self.phase = Phase::Cold { since, successes };
-                if !self.reports && successes >= self.capacity.cold_limit.max(1) * 2 {
+                if self.unreported && successes >= self.capacity.cold_limit.max(1) * 2 {
                     self.ramp(now);
                 }
             }
@@ -165,26 +171,42 @@
 
     /// Takes note of a failed connection or answer, after which the server may have started anew.
     ///
-    /// The server counts as cold until a report measured later says otherwise.
+    /// The server counts as cold until a report measured later says otherwise. If that one shows
+    /// that it did not start anew, the limit goes back to where it was.
     pub fn failed(&mut self, now: Instant) {
+        if self.phase == Phase::Warm {
+            self.before_failure = Some(self.value);
+        }
         self.turn_cold(now);
     }
 
+    /// Takes note that the server doesn't report its load.
+    pub fn set_unreported(&mut self) {
+        self.unreported = true;
+    }
+
+    /// Returns whether the server is known not to report its load.
+    pub fn is_unreported(&self) -> bool {
+        self.unreported
+    }
+
     /// Takes note of a report of the engine.
     pub fn reported(&mut self, now: Instant, report: &Report) {
-        self.reports = true;
+        self.unreported = false;
         let load = &report.load;
         let seen = (load.generation, load.uptime_ms);
         let restarted = self.generation.is_some_and(|(generation, uptime)| {
             load.generation > generation
                 || (load.generation == generation && load.uptime_ms < uptime)
         });
+        let first = self.generation.is_none();
         let stale = self.generation.is_some_and(|(generation, _)| load.generation < generation);
         if stale {
             return;
         }
         self.generation = Some(seen);
         if !load.warm {
+            self.before_failure = None;
             self.turn_cold_since(now, report.measured);
             return;
         }
@@ -195,7 +217,13 @@
         if let Phase::Cold { since, .. } = self.phase
             && report.measured > since
         {
-            self.ramp(now);
+            match self.before_failure.take().filter(|_| !restarted) {
+                Some(value) => self.warm(now, value),
+                None if first && load.uptime_ms >= SETTLED_UPTIME_MS => {
+                    self.warm(now, f64::from(self.capacity.slots));
+                }
+                None => self.ramp(now),
+            }
         }
     }
 
@@ -220,6 +248,11 @@
         self.phase = if full { Phase::Warm } else { Phase::Ramp { successes: 0 } };
     }
 
+    fn warm(&mut self, now: Instant, value: f64) {
+        self.phase = Phase::Warm;
+        self.change(now, value);
+    }
+
     fn change(&mut self, now: Instant, value: f64) {
         self.value = value.clamp(1.0, f64::from(self.capacity.slots.max(1)));
         self.changed = now;
--- a/src/home/occupancy.rs
+++ b/src/home/occupancy.rs
@@ -80,11 +80,6 @@
         self.reported.map_or(0, |(_, most)| most) + self.lost.len() as u32
     }
 
-    /// Returns whether the engine reports its load.
-    pub fn has_reports(&self) -> bool {
-        self.measured.is_some()
-    }
-
     /// Returns whether the engine said that it goes on with broken answers.
     pub fn resumes(&self) -> bool {
         self.resumes
--- a/src/home/poll.rs
+++ b/src/home/poll.rs
@@ -37,7 +37,12 @@
                         return;
                     }
                 }
-                Answer::Unsupported => skip = UNSUPPORTED_TICKS,
+                Answer::Unsupported => {
+                    skip = UNSUPPORTED_TICKS;
+                    if tx.send(Message::Unreported).await.is_err() {
+                        return;
+                    }
+                }
                 Answer::Failed => {}
             }
         }
--- a/src/home/task.rs
+++ b/src/home/task.rs
@@ -55,16 +55,20 @@
     Lost(u64),
     /// The engine reported its load.
     Report(Report),
+    /// The server doesn't report its load.
+    Unreported,
     /// The configuration changed.
     Configure(BackendServer, Arc<Config>),
     /// The standing among possible homes changed.
     Standing(Standing),
-    /// No earlier home grants slots any more; it had admitted so many requests.
-    PreviousGaveUp(u32),
+    /// No other instance was home at an instant; they had admitted so many requests.
+    PreviousGaveUp(Instant, u32),
     /// The other servers of the routes changed.
     Peers(Peers),
     /// Asks which requests run.
     InFlight(oneshot::Sender<InFlightReply>),
+    /// This instance is home again.
+    Resume(Standing),
     /// This instance is no longer home; waiting requests are refused for the reason.
     Retire(Reason),
 }
@@ -76,6 +80,8 @@
     pub tx: mpsc::Sender<Message>,
     /// The load as last published.
     pub load: watch::Receiver<ServerLoad>,
+    /// Whether the other instances are to be asked whether they are home.
+    pub must_ask: watch::Receiver<bool>,
     /// Whether this instance is home of the server.
     pub active: bool,
 }
@@ -91,18 +97,20 @@
     let name = server.name.clone();
     let admission = Admission::new(server, config, standing, Instant::now());
     let (load_tx, load) = watch::channel(admission.load(Instant::now()));
+    let (must_ask_tx, must_ask) = watch::channel(true);
     let task = Task {
         cx: cx.clone(),
         name,
         admission,
         load: load_tx,
+        must_ask: must_ask_tx,
         askers: HashMap::new(),
         pending: HashMap::new(),
         next: 1,
         retired: None,
     };
     tokio::spawn(task.run(rx));
-    QueueHandle { tx, load, active: true }
+    QueueHandle { tx, load, must_ask, active: true }
 }
 
 struct Task {
@@ -110,6 +118,7 @@
     name: BackendServerName,
     admission: Admission,
     load: watch::Sender<ServerLoad>,
+    must_ask: watch::Sender<bool>,
     askers: HashMap<u64, Asker>,
     pending: HashMap<u64, oneshot::Sender<Decision>>,
     next: u64,
@@ -172,14 +181,21 @@
                 let decisions = self.admission.report(now, &report);
                 self.answer(decisions);
             }
+            Message::Unreported => self.admission.unreported(),
             Message::Configure(server, config) => self.admission.configure(server, config),
             Message::Standing(standing) => self.admission.set_standing(now, standing),
-            Message::PreviousGaveUp(in_flight) => self.admission.previous_gave_up(now, in_flight),
+            Message::PreviousGaveUp(asked, in_flight) => {
+                self.admission.previous_gave_up(now, asked, in_flight);
+            }
             Message::Peers(peers) => self.admission.set_peers(peers),
             Message::InFlight(tx) => {
                 // An asker that went away doesn't need the answer.
                 let _ = tx.send(self.in_flight());
             }
+            Message::Resume(standing) => {
+                self.retired = None;
+                self.admission.begin_tenure(now, standing);
+            }
             Message::Retire(reason) => {
                 self.retired = Some(reason);
                 let decisions = self.admission.refuse_all(reason);
@@ -254,6 +270,8 @@
     }
 
     fn publish(&self, now: Instant) {
+        let must_ask = self.admission.must_ask();
+        self.must_ask.send_if_modified(|known| std::mem::replace(known, must_ask) != must_ask);
         let load = self.admission.load(now);
         self.load.send_if_modified(|known| {
             let changed = *known != load;
--- /dev/null
+++ b/tests/home_hand_over.rs
@@ -0,0 +1,369 @@
+//! Several instances that believe to be home of one cold server never exceed its cold limit.
+
+mod home_support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use home_support::{class, config, members, organisation, server};
+use laburnumvalve::config::{BackendServer, Config};
+use laburnumvalve::home::admission::{Admission, Arrival, Decision};
+use laburnumvalve::home::report::{EngineLoad, Report};
+use laburnumvalve::home::tenure::{PauseWatch, Standing, left_behind, share, to_ask};
+use laburnumvalve::home::{Ending, Figures};
+use laburnumvalve::names::InstanceName;
+use laburnumvalve::peer::Members;
+use laburnumvalve::peer::generated::v1::{InFlightEntry, InFlightReply};
+use laburnumvalve::peer::list::MemberList;
+use laburnumvalve::peer::presence::{Bounds, PresenceTable};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+const NAMES: [&str; 3] = ["one", "two", "three"];
+const STEP: Duration = Duration::from_millis(50);
+
+/// A fault or an event between them.
+#[derive(Debug, Clone)]
+enum Event {
+    /// Bytes from one instance to another are lost from now on.
+    Cut(usize, usize),
+    /// They pass again.
+    Heal(usize, usize),
+    /// An instance stops, as by SIGSTOP.
+    Freeze(usize),
+    /// It goes on.
+    Thaw(usize),
+    /// A running request ends.
+    End(usize),
+    /// Time passes, in steps.
+    Wait(u32),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let pair = || (0..3_usize, 0..3_usize);
+    prop_oneof![
+        3 => pair().prop_map(|(from, to)| Event::Cut(from, to)),
+        2 => pair().prop_map(|(from, to)| Event::Heal(from, to)),
+        1 => (0..3_usize).prop_map(Event::Freeze),
+        1 => (0..3_usize).prop_map(Event::Thaw),
+        3 => (0..8_usize).prop_map(Event::End),
+        6 => (1..120_u32).prop_map(Event::Wait),
+    ]
+}
+
+struct Instance {
+    name: InstanceName,
+    presence: PresenceTable,
+    view: Members,
+    pauses: PauseWatch,
+    frozen: bool,
+    admission: Option<Admission>,
+    next: u64,
+    ended: Vec<u64>,
+}
+
+struct World {
+    now: Instant,
+    step: u64,
+    cold_limit: u32,
+    lag: Duration,
+    list: MemberList,
+    config: Arc<Config>,
+    server: BackendServer,
+    instances: Vec<Instance>,
+    cut: BTreeSet<(usize, usize)>,
+    /// Requests on the engine: the instance, its tenure's number and the request's number.
+    engine: Vec<(usize, u64, u64)>,
+    tenures: BTreeMap<usize, u64>,
+    samples: Vec<(Instant, u32)>,
+    most: u32,
+}
+
+impl World {
+    fn new(cold_limit: u32, lag_ms: u64) -> Self {
+        let now = Instant::now() + Duration::from_secs(1_000);
+        let listed = members(&NAMES.map(|name| (name, String::new())));
+        let list = MemberList { revision: 1, members: listed.listed.clone() };
+        let server = server("runner", 16, cold_limit);
+        let config =
+            config(vec![class("gold", 0, 0)], vec![organisation("org", 1)], vec![server.clone()]);
+        let instances = NAMES.map(|name| {
+            let bounds = Bounds::new(Duration::from_millis(3_500));
+            let mut presence = PresenceTable::new(name.into(), bounds);
+            presence.relist(&list, now);
+            Instance {
+                name: name.into(),
+                view: presence.members(&list, false, now),
+                presence,
+                pauses: PauseWatch::new(now),
+                frozen: false,
+                admission: None,
+                next: 1,
+                ended: Vec::new(),
+            }
+        });
+        Self {
+            now,
+            step: 0,
+            cold_limit,
+            lag: Duration::from_millis(lag_ms),
+            list,
+            config: Arc::new(config),
+            server,
+            instances: instances.into(),
+            cut: BTreeSet::new(),
+            engine: Vec::new(),
+            tenures: BTreeMap::new(),
+            samples: Vec::new(),
+            most: 0,
+        }
+    }
+
+    fn run(&mut self, event: &Event) {
+        match event {
+            Event::Cut(from, to) => {
+                self.cut.insert((*from, *to));
+            }
+            Event::Heal(from, to) => {
+                self.cut.remove(&(*from, *to));
+            }
+            Event::Freeze(index) => self.instances[*index].frozen = true,
+            Event::Thaw(index) => self.instances[*index].frozen = false,
+            Event::End(index) => self.end(*index),
+            Event::Wait(steps) => (0..*steps).for_each(|_| self.pass()),
+        }
+    }
+
+    fn end(&mut self, index: usize) {
+        if self.engine.is_empty() {
+            return;
+        }
+        let (instance, tenure, id) = self.engine.remove(index % self.engine.len());
+        if self.tenures.get(&instance) == Some(&tenure) {
+            self.instances[instance].ended.push(id);
+        }
+    }
+
+    fn pass(&mut self) {
+        self.now += STEP;
+        self.step += 1;
+        self.samples.push((self.now, self.engine.len() as u32));
+        for index in 0..self.instances.len() {
+            if self.instances[index].frozen {
+                continue;
+            }
+            // What waited while the process was frozen is handled first, with its old view.
+            self.decide(index);
+            self.poll(index);
+            let phase = self.step + index as u64 * 3;
+            if phase.is_multiple_of(20) {
+                self.beat(index);
+            }
+            if phase.is_multiple_of(5) {
+                self.review(index);
+            }
+            if phase.is_multiple_of(10) {
+                let (now, list) = (self.now, self.list.clone());
+                let instance = &mut self.instances[index];
+                instance.view = instance.presence.members(&list, false, now);
+                self.ask_others(index);
+            }
+        }
+    }
+
+    fn passes(&self, from: usize, to: usize) -> bool {
+        !self.cut.contains(&(from, to)) && !self.instances[to].frozen
+    }
+
+    fn beat(&mut self, from: usize) {
+        for to in (0..self.instances.len()).filter(|to| *to != from) {
+            if !self.passes(from, to) {
+                continue;
+            }
+            let (sender, receiver) =
+                (self.instances[from].name.clone(), self.instances[to].name.clone());
+            self.instances[to].presence.heard(&sender, 1, false, self.now);
+            if self.passes(to, from) {
+                self.instances[from].presence.heard(&receiver, 1, false, self.now);
+                self.instances[from].presence.acknowledged(&receiver, self.now);
+            }
+        }
+    }
+
+    fn review(&mut self, index: usize) {
+        let now = self.now;
+        let instance = &mut self.instances[index];
+        let paused = instance.pauses.in_doubt(now);
+        let home = instance.view.home(&self.server.name, &self.server.data_centre);
+        if home.is_none_or(|home| home.name != instance.name) {
+            instance.admission = None;
+            return;
+        }
+        let standing = Standing::of(&instance.name, &self.server, &instance.view);
+        let standing = Standing { doubt: standing.doubt || paused, ..standing };
+        match &mut instance.admission {
+            Some(admission) => admission.set_standing(now, standing),
+            None => {
+                let config = self.config.clone();
+                instance.admission =
+                    Some(Admission::new(self.server.clone(), config, standing, now));
+                instance.ended.clear();
+                *self.tenures.entry(index).or_default() += 1;
+            }
+        }
+    }
+
+    fn ask_others(&mut self, index: usize) {
+        let instance = &self.instances[index];
+        if !instance.admission.as_ref().is_some_and(Admission::must_ask) {
+            return;
+        }
+        let asked = to_ask(&instance.name, &self.server, &instance.view);
+        let replies: Vec<Option<InFlightReply>> =
+            asked.iter().map(|member| self.in_flight(index, &member.name)).collect();
+        if let Some(in_flight) = left_behind(&replies) {
+            let now = self.now;
+            if let Some(admission) = &mut self.instances[index].admission {
+                admission.previous_gave_up(now, now, in_flight);
+            }
+        }
+    }
+
+    fn in_flight(&self, from: usize, name: &InstanceName) -> Option<InFlightReply> {
+        let to = NAMES.iter().position(|known| *known == name.as_str())?;
+        if !self.passes(from, to) || !self.passes(to, from) {
+            return None;
+        }
+        let running = self.engine.iter().filter(|(instance, ..)| *instance == to);
+        let entries = running.map(|_| InFlightEntry::default()).collect();
+        Some(InFlightReply { entries, cold: true, active: self.instances[to].admission.is_some() })
+    }
+
+    fn poll(&mut self, index: usize) {
+        if !(self.step + index as u64).is_multiple_of(10) {
+            return;
+        }
+        let measured = self.now - self.lag;
+        let sample = self.samples.iter().rev().find(|(at, _)| *at <= measured);
+        let Some((at, running)) = sample.copied() else { return };
+        let load = EngineLoad {
+            generation: 1,
+            uptime_ms: 1_000 + self.step,
+            running,
+            age_ms: self.now.duration_since(at).as_millis() as u64,
+            ..EngineLoad::default()
+        };
+        let now = self.now;
+        let report = Report::new(now, load);
+        if let Some(admission) = &mut self.instances[index].admission {
+            let decisions = admission.report(now, &report);
+            self.take(index, decisions);
+        }
+    }
+
+    /// Ends what ended, and asks for more slots than there are.
+    fn decide(&mut self, index: usize) {
+        let now = self.now;
+        let instance = &mut self.instances[index];
+        let Some(admission) = &mut instance.admission else { return };
+        let mut decisions = Vec::new();
+        for id in instance.ended.drain(..) {
+            decisions.extend(admission.finish(now, id, Ending::Complete, Figures::default()));
+        }
+        while admission.waiting_count() < 20 {
+            let id = instance.next;
+            instance.next += 1;
+            decisions.extend(admission.enqueue(now, arrival(id)));
+            if decisions.len() > 100 {
+                break;
+            }
+        }
+        decisions.extend(admission.tick(now));
+        self.take(index, decisions);
+    }
+
+    fn take(&mut self, index: usize, decisions: Vec<Decision>) {
+        let tenure = self.tenures.get(&index).copied().unwrap_or_default();
+        for decision in decisions {
+            if let Decision::Granted { id, .. } = decision {
+                self.engine.push((index, tenure, id));
+            }
+        }
+        self.most = self.most.max(self.engine.len() as u32);
+    }
+}
+
+fn arrival(id: u64) -> Arrival {
+    Arrival {
+        id,
+        class: "gold".into(),
+        organisation: "org".into(),
+        prompt_tokens: 10,
+        estimated_tokens: 10,
+        deadline: None,
+        wait_bound: None,
+        repeatable: true,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn all_homes_together_stay_within_the_cold_limit(
+        cold_limit in 1_u32..9,
+        lag_ms in 0_u64..2_000,
+        events in prop::collection::vec(event(), 1..60),
+    ) {
+        let mut world = World::new(cold_limit, lag_ms);
+        world.run(&Event::Wait(100));
+        for event in &events {
+            world.run(event);
+            prop_assert!(world.most <= cold_limit, "{} of {cold_limit}", world.most);
+        }
+    }
+
+    #[test]
+    fn shares_of_all_ranks_add_up_to_the_limit_at_most(limit in 0_u32..10_000) {
+        let sum: u32 = (0..40).map(|rank| share(rank, limit)).sum();
+        prop_assert!(sum <= limit);
+    }
+}
+
+/// Slots granted in a doubt that has just ended are not in any report yet; they count all the same.
+#[test]
+fn slots_granted_by_another_home_count_before_they_are_reported() {
+    let events = [
+        Event::Wait(100),
+        Event::Freeze(1),
+        Event::Wait(41),
+        Event::Cut(0, 1),
+        Event::Wait(14),
+        Event::End(0),
+        Event::Thaw(1),
+        Event::Wait(85),
+        Event::Heal(0, 1),
+        Event::Wait(26),
+    ];
+    let mut world = World::new(4, 1_001);
+    events.iter().for_each(|event| world.run(event));
+    assert_eq!(world.most, 4);
+}
+
+/// Without faults one home serves the whole cold limit, also after the home before it froze.
+#[test]
+fn the_cold_limit_is_used_before_and_after_a_hand_over() {
+    let mut world = World::new(4, 1_000);
+    world.run(&Event::Wait(200));
+    assert_eq!(world.engine.len(), world.cold_limit as usize);
+
+    let home = world.instances.iter().position(|instance| instance.admission.is_some()).unwrap();
+    world.run(&Event::Freeze(home));
+    (0..4).for_each(|_| world.run(&Event::End(0)));
+    world.run(&Event::Wait(400));
+
+    assert!(!world.engine.is_empty(), "the next home grants its share");
+    assert!(world.engine.iter().all(|(instance, ..)| *instance != home));
+    assert!(world.most <= 4);
+}
--- /dev/null
+++ b/tests/limits.rs
@@ -0,0 +1,165 @@
+//! Limits of organisations over all instances, within their stated error bound.
+
+mod home_support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use home_support::organisation;
+use laburnumvalve::config::Organisation;
+use laburnumvalve::home::limits::{
+    ALLOWANCE_VALIDITY, Account, Divider, OverLimit, REPORT_PERIOD, equal_part,
+};
+use proptest::prelude::*;
+use tokio::time::Instant;
+
+fn limited(max_running: u32) -> Organisation {
+    Organisation { max_running: Some(max_running), ..organisation("timers", 1) }
+}
+
+/// One step of a fleet under test.
+#[derive(Debug, Clone)]
+enum Step {
+    Start(usize),
+    End(usize),
+    Report(usize),
+    Gone(usize),
+    NewDivider,
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..4_usize).prop_map(Step::Start),
+        3 => (0..4_usize).prop_map(Step::End),
+        4 => (0..4_usize).prop_map(Step::Report),
+        1 => (0..4_usize).prop_map(Step::Gone),
+        1 => Just(Step::NewDivider),
+        3 => (1..3_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+/// Four instances that share one organisation's limit of running requests.
+struct Fleet {
+    org: Organisation,
+    now: Instant,
+    divider: Divider,
+    accounts: BTreeMap<usize, (Account, u32)>,
+    changes: u32,
+}
+
+impl Fleet {
+    fn new(limit: u32) -> Self {
+        Self {
+            org: limited(limit),
+            now: Instant::now() + Duration::from_secs(100),
+            divider: Divider::default(),
+            accounts: BTreeMap::new(),
+            changes: 0,
+        }
+    }
+
+    fn run(&mut self, step: &Step) {
+        let fallback = equal_part(&self.org, 4);
+        let now = self.now;
+        match step {
+            Step::Start(index) => {
+                let (account, running) =
+                    self.accounts.entry(*index).or_insert_with(|| (Account::new(now), 0));
+                *running += u32::from(account.try_start(now, fallback).is_ok());
+            }
+            Step::End(index) => {
+                if let Some((account, running)) = self.accounts.get_mut(index)
+                    && *running > 0
+                {
+                    account.ended();
+                    *running -= 1;
+                }
+            }
+            Step::Report(index) => {
+                let Some((account, _)) = self.accounts.get_mut(index) else { return };
+                let name = format!("instance-{index}").as_str().into();
+                let given = self.divider.report(now, &self.org, &name, account.take_use(), 4);
+                account.allow(now, now, given, fallback);
+            }
+            Step::Gone(index) => {
+                self.accounts.remove(index);
+            }
+            Step::NewDivider => {
+                self.divider = Divider::default();
+                self.changes += 1;
+            }
+            Step::Wait(ms) => self.now += Duration::from_millis(*ms),
+        }
+    }
+
+    fn running(&self) -> u32 {
+        self.accounts.values().map(|(_, running)| running).sum()
+    }
+}
+
+proptest! {
+    #[test]
+    fn the_fleet_stays_within_the_stated_bound(
+        limit in 4_u32..40,
+        steps in prop::collection::vec(step(), 1..300),
+    ) {
+        let mut fleet = Fleet::new(limit);
+        for step in &steps {
+            fleet.run(step);
+            prop_assert!(fleet.running() <= 2 * limit, "{} of {limit}", fleet.running());
+        }
+    }
+}
+
+/// With one divider and instances that report in time, the whole limit is used and never exceeded.
+#[test]
+fn one_instance_with_all_requests_gets_the_whole_limit() {
+    let mut fleet = Fleet::new(20);
+    let mut most = 0;
+    for _ in 0..10 {
+        for _ in 0..30 {
+            fleet.run(&Step::Start(0));
+        }
+        most = most.max(fleet.running());
+        fleet.run(&Step::Start(1));
+        fleet.run(&Step::Report(0));
+        fleet.run(&Step::Report(1));
+        fleet.run(&Step::Wait(REPORT_PERIOD.as_millis() as u64));
+        assert!(fleet.running() <= 20);
+    }
+    assert!(most >= 15, "{most}");
+}
+
+/// Without a divider an instance falls back to its equal part when its allowance expires.
+#[test]
+fn an_instance_without_divider_falls_back_to_an_equal_part() {
+    let mut fleet = Fleet::new(20);
+    fleet.run(&Step::Start(0));
+    for _ in 0..8 {
+        fleet.run(&Step::Report(0));
+        fleet.run(&Step::Wait(1_000));
+    }
+    fleet.run(&Step::Wait(ALLOWANCE_VALIDITY.as_millis() as u64));
+    for _ in 0..30 {
+        fleet.run(&Step::Start(0));
+    }
+    assert_eq!(fleet.running(), 5);
+}
+
+#[test]
+fn tokens_used_beyond_the_bucket_are_paid_for_by_waiting() {
+    let org = Organisation { tokens_per_minute: Some(600), ..organisation("timers", 1) };
+    let fallback = equal_part(&org, 1);
+    let start = Instant::now() + Duration::from_secs(100);
+    let mut account = Account::new(start);
+
+    account.try_start(start, fallback).unwrap();
+    account.used(start, 400, fallback);
+
+    // The bucket held 100 tokens, so 300 are owed, which take 30 s at 10 a second.
+    let refused = account.try_start(start, fallback);
+    assert_eq!(refused, Err(OverLimit::Tokens(Duration::from_secs(30))));
+    assert!(account.try_start(start + Duration::from_secs(29), fallback).is_err());
+    assert!(account.try_start(start + Duration::from_secs(30), fallback).is_ok());
+}
