Give orders under a lease with stored intents, and plan which servers run

Cause: a frozen holder may wake between its check and its send. Servers that check fencing numbers refuse it; for the others a successor waits until the former holder released, acknowledged its loss, or has left the instance list for longer than an act under a permit may take. The lease record names former holders, so that this also holds after a second take-over. Waiting for a fixed time instead was ruled out: a frozen process has no bound.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 pub mod names;
 pub mod options;
+pub mod orders;
 pub mod outcome;
 pub mod peer;
 pub mod platform;
--- a/src/options.rs
+++ b/src/options.rs
@@ -86,6 +86,8 @@
     pub max_header: usize,
     /// Connections from callers at once.
     pub max_connections: usize,
+    /// Whether backend servers are started and stopped as demand asks.
+    pub manage_servers: bool,
     /// Form of the log lines.
     pub log_format: LogFormat,
     /// Filter of the log lines, such as `info` or `laburnumvalve=debug`.
@@ -115,6 +117,7 @@
             max_body: 16 << 20,
             max_header: 32 << 10,
             max_connections: 10_000,
+            manage_servers: false,
             log_format: LogFormat::Text,
             log_filter: "info".to_owned(),
         }
@@ -373,6 +376,16 @@
         read: |o, text| read_count(text).map(|count| o.max_connections = count),
         show: |o| o.max_connections.to_string(),
     },
+    Setting {
+        flag: "manage-servers",
+        env: "LABURNUMVALVE_MANAGE_SERVERS",
+        hint: "on|off",
+        help: "Whether backend servers are started and stopped as demand asks",
+        secret: false,
+        required: false,
+        read: |o, text| read_switch(text).map(|on| o.manage_servers = on),
+        show: |o| if o.manage_servers { "on" } else { "off" }.to_owned(),
+    },
     Setting {
         flag: "log-format",
         env: "LABURNUMVALVE_LOG_FORMAT",
@@ -493,6 +506,14 @@
     }
 }
 
+fn read_switch(text: &str) -> Result<bool, &'static str> {
+    match text {
+        "on" => Ok(true),
+        "off" => Ok(false),
+        _ => Err("on or off"),
+    }
+}
+
 fn read_log_format(text: &str) -> Result<LogFormat, &'static str> {
     match text {
         "text" => Ok(LogFormat::Text),
--- /dev/null
+++ b/src/orders/sender.rs
@@ -0,0 +1,209 @@
+//! Gives orders under a lease: intent, permit, send, result.
+
+use std::collections::BTreeSet;
+
+use super::client::{OrderClient, SendOutcome};
+use super::intent::{Action, Intent, OrderEnd};
+use crate::config::BackendServer;
+use crate::context::Context;
+use crate::event::{About, EventKind};
+use crate::metrics::Counter;
+use crate::names::{BackendServerName, DataCentreName};
+use crate::platform::lease::Holder;
+use crate::platform::{LeaseWatch, LiveLease, Object, PlatformError, StoreKind};
+
+/// Why an order has no result yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderError {
+    /// The lease is not held, or not for long enough.
+    NoLease,
+    /// A former holder may still send orders to a backend server that ignores fencing numbers.
+    FormerHolder,
+    /// The object API failed; nothing was sent.
+    Platform(PlatformError),
+    /// The order was sent without a clear answer; giving it again repeats the same order.
+    Unknown(String),
+}
+
+impl std::fmt::Display for OrderError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::NoLease => f.write_str("the lease is not held for long enough"),
+            Self::FormerHolder => f.write_str("a former holder of the lease may still be active"),
+            Self::Platform(error) => error.fmt(f),
+            Self::Unknown(why) => write!(f, "the order was not answered: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for OrderError {}
+
+/// Gives the orders of one data centre while its lease is held here.
+pub struct Sender {
+    cx: Context,
+    me: Holder,
+    lease: LeaseWatch,
+    client: OrderClient,
+}
+
+impl Sender {
+    /// Makes a sender under a lease.
+    ///
+    /// # Errors
+    /// Fails if the HTTP client can't be built.
+    pub fn new(cx: Context, lease: LeaseWatch) -> eyre::Result<Self> {
+        let client = OrderClient::new(&cx.options.orders)?;
+        let me = Holder { instance: cx.options.instance.clone(), incarnation: cx.incarnation };
+        Ok(Self { cx, me, lease, client })
+    }
+
+    /// Returns whether the lease is held here now.
+    pub fn in_charge(&self) -> bool {
+        self.lease.live().is_some()
+    }
+
+    /// Returns the backend servers of a data centre that run or start; none if that is unknown.
+    pub async fn running(
+        &self,
+        data_centre: &DataCentreName,
+    ) -> Option<BTreeSet<BackendServerName>> {
+        self.client.running(data_centre).await
+    }
+
+    /// Returns the backend servers that were last stopped by an order; none if that is unknown.
+    pub async fn stopped_by_order(&self) -> Option<BTreeSet<BackendServerName>> {
+        self.count();
+        let (orders, _) = self.cx.objects.list::<Intent>(StoreKind::Orders).await.ok()?;
+        let stopped = orders
+            .into_iter()
+            .map(|object| object.spec)
+            .filter(|intent| intent.action == Action::Stop && intent.end == Some(OrderEnd::Done));
+        Some(stopped.map(|intent| intent.server).collect())
+    }
+
+    /// Gives an order to a backend server; returns how it ended.
+    ///
+    /// An earlier order to that server without a known result is settled first.
+    ///
+    /// # Errors
+    /// Says why there is no result; giving the order again is safe.
+    pub async fn give(
+        &self,
+        server: &BackendServer,
+        action: Action,
+    ) -> Result<OrderEnd, OrderError> {
+        let lease = self.lease.live().ok_or(OrderError::NoLease)?;
+        check_former(server, &lease)?;
+        let stored = self.read(server).await?;
+        let (version, intent) = match stored {
+            Some(Object { version, spec, .. }) if spec.end.is_none() => {
+                let repeated = spec.action == action;
+                let end = self.settle(server, &lease, version, spec).await?;
+                if repeated {
+                    return Ok(end);
+                }
+                let version = self.read(server).await?.map(|object| object.version);
+                (version, self.intent(server, action, lease.epoch()))
+            }
+            stored => {
+                let version = stored.map(|object| object.version);
+                (version, self.intent(server, action, lease.epoch()))
+            }
+        };
+        let version = self.store(version.as_deref(), &intent).await?;
+        self.settle(server, &lease, version, intent).await
+    }
+
+    /// Sends a stored intent and stores its result.
+    async fn settle(
+        &self,
+        server: &BackendServer,
+        lease: &LiveLease,
+        version: String,
+        intent: Intent,
+    ) -> Result<OrderEnd, OrderError> {
+        let lease = self.lease.live().filter(|now| now.epoch() == lease.epoch());
+        let lease = lease.ok_or(OrderError::NoLease)?;
+        check_former(server, &lease)?;
+        let outcome = {
+            let permit = lease.permit().ok_or(OrderError::NoLease)?;
+            self.client.send(&permit, self.me.instance.as_str(), &intent).await
+        };
+        let end = match outcome {
+            SendOutcome::Done => OrderEnd::Done,
+            SendOutcome::Fenced => OrderEnd::Fenced,
+            SendOutcome::NoTime => return Err(OrderError::NoLease),
+            SendOutcome::Unknown(why) => return Err(OrderError::Unknown(why)),
+        };
+        self.announce(&intent, &end);
+        let done = Intent { end: Some(end.clone()), ..intent };
+        if let Err(error) = self.store(Some(&version), &done).await {
+            // The stored intent stays open; its repeat has no further effect.
+            tracing::warn!(%error, server = %server.name, "the result of an order was not stored");
+        }
+        Ok(end)
+    }
+
+    fn intent(&self, server: &BackendServer, action: Action, epoch: u64) -> Intent {
+        Intent {
+            id: format!("{}-{epoch}-{}", server.name, uuid::Uuid::new_v4().simple()),
+            data_centre: server.data_centre.clone(),
+            server: server.name.clone(),
+            action,
+            epoch,
+            holder: self.me.clone(),
+            end: None,
+        }
+    }
+
+    async fn read(&self, server: &BackendServer) -> Result<Option<Object<Intent>>, OrderError> {
+        self.count();
+        match self.cx.objects.get(StoreKind::Orders, server.name.as_str()).await {
+            Ok(object) => Ok(Some(object)),
+            Err(PlatformError::NotFound) => Ok(None),
+            Err(error) => Err(OrderError::Platform(error)),
+        }
+    }
+
+    /// Stores an intent in place of a version; returns the new version.
+    async fn store(&self, version: Option<&str>, intent: &Intent) -> Result<String, OrderError> {
+        self.count();
+        let (objects, name) = (&self.cx.objects, intent.server.as_str());
+        let result = match version {
+            Some(version) => objects.update(StoreKind::Orders, name, version, intent).await,
+            None => objects.create(StoreKind::Orders, name, intent).await,
+        };
+        match result {
+            Ok(version) => Ok(version),
+            Err(PlatformError::Unknown(why)) => self.read_back(intent, why).await,
+            Err(error) => Err(OrderError::Platform(error)),
+        }
+    }
+
+    /// Finds out whether a write without an answer took effect.
+    async fn read_back(&self, intent: &Intent, why: String) -> Result<String, OrderError> {
+        self.count();
+        let found = self.cx.objects.get::<Intent>(StoreKind::Orders, intent.server.as_str()).await;
+        match found {
+            Ok(object) if object.spec == *intent => Ok(object.version),
+            _ => Err(OrderError::Platform(PlatformError::Unknown(why))),
+        }
+    }
+
+    fn announce(&self, intent: &Intent, end: &OrderEnd) {
+        let (word, argument) = intent.action.words();
+        let about = About { backend_server: Some(intent.server.clone()), ..About::default() };
+        let detail = format!("{word} {argument} epoch {}: {end:?}", intent.epoch);
+        self.cx.recorder.record_about(EventKind::Order, about, detail);
+    }
+
+    fn count(&self) {
+        self.cx.metrics.add(Counter::PlatformCalls, StoreKind::Orders.as_str(), 1);
+    }
+}
+
+/// Refuses to act on a server that ignores fencing numbers while another may act on it too.
+fn check_former(server: &BackendServer, lease: &LiveLease) -> Result<(), OrderError> {
+    let safe = server.checks_fencing || lease.former().is_empty();
+    if safe { Ok(()) } else { Err(OrderError::FormerHolder) }
+}
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -78,11 +78,7 @@
     ///
     /// # Errors
     /// Fails if the HTTP client can't be built.
-    pub fn start(
-        cx: Context,
-        homes: Homes,
-        outputs: Outputs,
-    ) -> eyre::Result<Self> {
+    pub fn start(cx: Context, homes: Homes, outputs: Outputs) -> eyre::Result<Self> {
         let (tx, rx) = mpsc::channel(INBOX);
         let http = reqwest::Client::builder().no_proxy().build()?;
         let bounds = Bounds::new(cx.options.suspect_after);
--- a/src/peer/service.rs
+++ b/src/peer/service.rs
@@ -5,8 +5,8 @@
 
 use super::generated::v1::peer_server::{Peer, PeerServer};
 use super::generated::v1::{
-    BeatReply, BeatRequest, FetchConfigReply, FetchConfigRequest, KeepUsageReply,
-    KeepUsageRequest, SpreadReply, SpreadRequest, TimelineReply, TimelineRequest,
+    BeatReply, BeatRequest, FetchConfigReply, FetchConfigRequest, KeepUsageReply, KeepUsageRequest,
+    SpreadReply, SpreadRequest, TimelineReply, TimelineRequest,
 };
 use super::membership::Membership;
 use super::pool::{MAX_MESSAGE, SECRET_HEADER};
--- a/src/platform/lease/claimant.rs
+++ b/src/platform/lease/claimant.rs
@@ -28,6 +28,8 @@
         pub renewal: u64,
         /// Term in milliseconds.
         pub term_ms: u64,
+        /// Earlier holders that may still believe they are in charge.
+        pub former: Vec<Holder>,
     }
 }
 
@@ -100,6 +102,10 @@
     held: Option<Tenancy>,
     renewals: u64,
     unresolved: Vec<(u64, BootTime)>,
+    /// Former holders that are known to be over.
+    over: Vec<Holder>,
+    /// Whether something is still being done under an earlier lease.
+    busy: bool,
 }
 
 impl Claimant {
@@ -113,9 +119,27 @@
             held: None,
             renewals: 0,
             unresolved: Vec::new(),
+            over: Vec::new(),
+            busy: false,
         }
     }
 
+    /// Sets which former holders are over; the next write drops them.
+    pub fn set_over(&mut self, over: Vec<Holder>) {
+        self.over = over;
+    }
+
+    /// Sets whether something is still being done under a lease of this process.
+    pub fn set_busy(&mut self, busy: bool) {
+        self.busy = busy;
+    }
+
+    /// Returns the former holders that may still believe they are in charge.
+    pub fn former(&self) -> Vec<Holder> {
+        let former = self.record().map(|record| record.former.clone()).unwrap_or_default();
+        former.into_iter().filter(|holder| !self.is_over(holder)).collect()
+    }
+
     /// Returns what this instance holds at this time.
     pub fn held(&self, now: BootTime) -> Option<Tenancy> {
         self.held.filter(|held| now < held.until)
@@ -140,6 +164,9 @@
             return self.write(now, None, Some(self.me.clone()), 1);
         };
         let epoch = seen.record.epoch;
+        if let Some(call) = self.acknowledge(now, &seen) {
+            return call;
+        }
         match &seen.record.holder {
             Some(holder) if *holder == self.me => {
                 self.write(now, Some(seen.version), Some(self.me.clone()), epoch)
@@ -149,6 +176,26 @@
         }
     }
 
+    /// Returns the write that says that this instance knows of a lease that it lost, if it did.
+    ///
+    /// The rest of the record stays, also the number of the holder's write.
+    fn acknowledge(&self, now: BootTime, seen: &Seen) -> Option<LeaseCall> {
+        let listed = seen.record.former.iter().any(|h| h.instance == self.me.instance);
+        let holds = seen.record.holder.as_ref() == Some(&self.me);
+        if !listed || holds || self.busy {
+            return None;
+        }
+        let record = LeaseRecord { former: self.former(), ..seen.record.clone() };
+        let version = Some(seen.version.clone());
+        Some(LeaseCall::Write(LeaseWrite { version, record, sent_at: now }))
+    }
+
+    /// Returns whether a former holder is over; an earlier process of this instance is.
+    fn is_over(&self, holder: &Holder) -> bool {
+        let own = holder.instance == self.me.instance && (*holder != self.me || !self.busy);
+        own || self.over.contains(holder)
+    }
+
     /// Gives the lease up and returns the write that tells others; none if it isn't held.
     ///
     /// The caller must have ended everything that it does under the lease.
@@ -240,7 +287,10 @@
     ) -> LeaseCall {
         self.renewals += 1;
         let term_ms = self.settings.term.as_millis() as u64;
-        let record = LeaseRecord { holder, epoch, renewal: self.renewals, term_ms };
+        let mut former = self.former();
+        let before = self.record().and_then(|record| record.holder.clone());
+        former.extend(before.filter(|holder| holder.instance != self.me.instance));
+        let record = LeaseRecord { holder, epoch, renewal: self.renewals, term_ms, former };
         LeaseCall::Write(LeaseWrite { version, record, sent_at: now })
     }
 }
--- a/src/platform/lease/live.rs
+++ b/src/platform/lease/live.rs
@@ -6,9 +6,12 @@
 
 use tokio::sync::watch;
 
-use super::claimant::Tenancy;
+use super::claimant::{Holder, Tenancy};
 use crate::clock::{BootClock, BootTime};
 
+/// Longest time that one act under a permit may take.
+pub const ACT_DEADLINE: Duration = Duration::from_secs(2);
+
 /// What all copies of a live lease share.
 #[derive(Debug, Default)]
 pub(super) struct Shared {
@@ -33,13 +36,24 @@
 pub struct LiveLease {
     epoch: u64,
     until: BootTime,
+    former: Arc<[Holder]>,
     clock: BootClock,
     shared: Arc<Shared>,
 }
 
 impl LiveLease {
-    pub(super) fn new(tenancy: Tenancy, clock: BootClock, shared: Arc<Shared>) -> Self {
-        Self { epoch: tenancy.epoch, until: tenancy.until, clock, shared }
+    pub(super) fn new(
+        tenancy: Tenancy,
+        former: Arc<[Holder]>,
+        clock: BootClock,
+        shared: Arc<Shared>,
+    ) -> Self {
+        Self { epoch: tenancy.epoch, until: tenancy.until, former, clock, shared }
+    }
+
+    /// Returns the former holders that may still believe they are in charge.
+    pub fn former(&self) -> &[Holder] {
+        &self.former
     }
 
     /// Returns the fencing number.
--- a/src/platform/lease/mod.rs
+++ b/src/platform/lease/mod.rs
@@ -6,11 +6,13 @@
 //! An Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency" (1989).
 
 pub mod claimant;
+pub mod former;
 pub mod live;
 pub mod role;
 pub mod task;
 
 pub use claimant::{Claimant, Holder, LeaseCall, LeaseRecord, LeaseSettings, LeaseWrite};
-pub use live::{LeaseWatch, LiveLease, Permit};
+pub use former::FormerHolders;
+pub use live::{ACT_DEADLINE, LeaseWatch, LiveLease, Permit};
 pub use role::Role;
 pub use task::LeaseTask;
--- a/src/platform/lease/task.rs
+++ b/src/platform/lease/task.rs
@@ -7,8 +7,9 @@
 use tokio::sync::watch;
 
 use super::claimant::{Claimant, Holder, LeaseCall, LeaseRecord, LeaseSettings, LeaseWrite};
+use super::former::FormerHolders;
 use super::live::{LeaseWatch, LiveLease, Shared};
-use super::role::Role;
+use super::role::{CONTENDERS, Role};
 use crate::clock::BootClock;
 use crate::context::Context;
 use crate::event::EventKind;
@@ -17,7 +18,7 @@
 
 /// Looks or renewals within one term.
 const LOOKS_IN_TERM: u32 = 4;
-/// Pauses between two calls of an instance that does not contend.
+/// Pauses between two calls of an instance that does not contend, in a small fleet.
 const IDLE_LOOKS: u32 = 24;
 /// Calls made in one round, so that a read can be followed by a claim and its read-back.
 const CALLS_IN_ROUND: usize = 3;
@@ -32,6 +33,7 @@
     clock: BootClock,
     claimant: Claimant,
     shared: Arc<Shared>,
+    former: FormerHolders,
     tx: watch::Sender<Option<LiveLease>>,
 }
 
@@ -49,6 +51,7 @@
         let task = Self {
             claimant: Claimant::new(me, settings),
             shared: Arc::default(),
+            former: FormerHolders::default(),
             cx,
             role,
             settings,
@@ -65,7 +68,7 @@
         while !*draining.borrow() {
             if self.is_active() || idle_looks == 0 {
                 self.round().await;
-                idle_looks = IDLE_LOOKS;
+                idle_looks = self.idle_looks();
             }
             idle_looks -= 1;
             let mut pause = self.cx.timer.after(self.pause());
@@ -83,6 +86,13 @@
         base.mul_f64(rand::rng().random_range(0.8..1.0))
     }
 
+    /// Returns the pauses between calls of an instance that does not contend; they grow with the
+    /// fleet, so that the calls of all such instances together do not.
+    fn idle_looks(&self) -> u32 {
+        let instances = u32::try_from(self.cx.members.borrow().listed.len()).unwrap_or(u32::MAX);
+        IDLE_LOOKS.saturating_mul(1 + instances / CONTENDERS as u32)
+    }
+
     /// Returns whether this instance holds the lease or is among those that contend for it.
     fn is_active(&self) -> bool {
         let members = self.cx.members.borrow().clone();
@@ -93,6 +103,7 @@
     /// Reads, renews or claims once, and reads back a write whose answer was lost.
     async fn round(&mut self) {
         for _ in 0..CALLS_IN_ROUND {
+            self.observe_former();
             let call = self.claimant.next_call(self.clock.now());
             let was_read = call == LeaseCall::Read;
             self.perform(call).await;
@@ -104,6 +115,16 @@
         }
     }
 
+    /// Takes note of former holders that are over and of what is still done here.
+    fn observe_former(&mut self) {
+        let former = self.claimant.record().map(|record| record.former.clone());
+        let members = self.cx.members.borrow().clone();
+        let me = &self.cx.options.instance;
+        let over = self.former.over(&former.unwrap_or_default(), &members, me, self.clock.now());
+        self.claimant.set_over(over);
+        self.claimant.set_busy(self.shared.permits() > 0);
+    }
+
     /// Returns whether the next call would be a write.
     fn claimable(&self) -> bool {
         matches!(self.claimant.clone().next_call(self.clock.now()), LeaseCall::Write(_))
@@ -147,10 +168,11 @@
         let after = held.map(|tenancy| tenancy.epoch);
         if before != after {
             self.announce(before, after);
-            self.shared = Arc::default();
         }
-        let live =
-            held.map(|tenancy| LiveLease::new(tenancy, self.clock.clone(), self.shared.clone()));
+        let former: Arc<[Holder]> = self.claimant.former().into();
+        let live = held.map(|tenancy| {
+            LiveLease::new(tenancy, former, self.clock.clone(), self.shared.clone())
+        });
         self.tx.send_replace(live);
     }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::config::{self, ConfigHandle, InForce};
 use crate::context::Context;
+use crate::entry;
 use crate::event::{EventKind, Recorder};
 use crate::home::{self, Admitter, Homes};
 use crate::metrics::Metrics;
@@ -24,7 +25,6 @@
 use crate::platform::Objects;
 use crate::timer::Timer;
 use crate::usage::{self, Ledger};
-use crate::entry;
 
 /// Reports of peers' configuration that may wait to be compared.
 const HEARD_QUEUE: usize = 1_024;
@@ -92,12 +92,8 @@
     let membership = Membership::start(cx.clone(), homes.clone(), outputs)?;
     tokio::spawn(compare_configs(heard_rx, config.clone()));
 
-    let peers = PeerService {
-        cx: cx.clone(),
-        membership,
-        config: config.clone(),
-        ledger: ledger.clone(),
-    };
+    let peers =
+        PeerService { cx: cx.clone(), membership, config: config.clone(), ledger: ledger.clone() };
     let mut peers = tokio::spawn(serve_peers(sockets.peers, cx.clone(), peers, homes));
     let admitter = Admitter::new(cx.clone());
     let entry = entry::serve(sockets.callers, cx.clone(), admitter, ledger.clone(), claims);
@@ -132,8 +128,12 @@
         loads,
         draining,
     };
-    let views =
-        Views { in_force: in_force_tx, members: members_tx, loads: loads_tx, draining: draining_tx };
+    let views = Views {
+        in_force: in_force_tx,
+        members: members_tx,
+        loads: loads_tx,
+        draining: draining_tx,
+    };
     Ok((cx, views))
 }
 
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -129,6 +129,7 @@
         if let Some(holder) = &write.record.holder {
             let known = self.holders.entry(write.record.epoch).or_insert_with(|| holder.clone());
             assert_eq!(known, holder, "two holders share an epoch, seed {SEED}");
+            self.check_former(holder, &write.record.former);
         }
         let before = self.stored.as_ref().map_or(0, |object| object.spec.epoch);
         assert!(write.record.epoch >= before, "the epoch went back, seed {SEED}");
@@ -137,6 +138,15 @@
         Ok(version)
     }
 
+    /// Checks that a holder which did not release the lease is named to its successor.
+    fn check_former(&self, holder: &Holder, former: &[Holder]) {
+        let before = self.stored.as_ref().and_then(|object| object.spec.holder.as_ref());
+        let Some(before) = before.filter(|before| before.instance != holder.instance) else {
+            return;
+        };
+        assert!(former.contains(before), "a former holder is not named, seed {SEED}");
+    }
+
     fn deliver(&mut self, who: usize) -> bool {
         let now = self.local(who);
         let node = &mut self.nodes[who];
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,261 @@
+//! Orders come from one lease holder only, and an unanswered one has the effect of once.
+
+mod usage_support;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use laburnumvalve::clock::BootClock;
+use laburnumvalve::config::{
+    Access, BackendServer, Class, Config, Repeatability, Route, RouteTarget, ServerKind, Tier,
+};
+use laburnumvalve::names::BackendServerName;
+use laburnumvalve::options::Options;
+use laburnumvalve::orders::plan::{Planner, pools};
+use laburnumvalve::orders::{Action, OrderEnd, OrderError, Sender};
+use laburnumvalve::peer::generated::v1::ServerLoad;
+use laburnumvalve::peer::{Loads, Member, Members};
+use laburnumvalve::platform::{LeaseTask, LeaseWatch, Role};
+use rstest::rstest;
+use standins::platform::{LostAnswer, PlatformFaults};
+use standins::{Platform, PlatformSettings, Relay};
+use usage_support::{Controls, context, eventually, options};
+
+const TERM: Duration = Duration::from_secs(3);
+const CENTRE: &str = "kolkata-a";
+
+/// An instance that contends for the orders of one data centre.
+struct Contender {
+    sender: Sender,
+    lease: LeaseWatch,
+    clock: BootClock,
+    controls: Controls,
+}
+
+impl Contender {
+    fn start(name: &str, platform: &Platform) -> Self {
+        Self::start_at(name, platform, platform.url())
+    }
+
+    /// Starts one that reaches the platform's object API at another URL.
+    fn start_at(name: &str, platform: &Platform, url: String) -> Self {
+        let options = Options { lease_term: TERM, platform: url, ..options(name, platform) };
+        let (cx, controls) = context(options, 1);
+        let clock = BootClock::default();
+        let role = Role { name: format!("orders-{CENTRE}"), data_centre: None };
+        let lease = LeaseTask::start_with_clock(cx.clone(), role, clock.clone());
+        let sender = Sender::new(cx, lease.clone()).expect("sender");
+        Self { sender, lease, clock, controls }
+    }
+
+    fn tell(&self, names: &[&str]) {
+        let member = |name: &str| Member {
+            name: name.into(),
+            data_centre: CENTRE.into(),
+            peer_address: "127.0.0.1:1".into(),
+            leaving: false,
+        };
+        let listed = names.iter().map(|name| ((*name).into(), member(name))).collect();
+        self.controls.members.send_replace(Arc::new(Members { listed, ..Members::default() }));
+    }
+
+    async fn until_in_charge(&self) {
+        eventually("the lease is won", || self.sender.in_charge()).await;
+    }
+}
+
+async fn platform() -> Platform {
+    Platform::start(PlatformSettings::default()).await.expect("platform")
+}
+
+fn server(name: &str, data_centre: &str, kind: ServerKind, checks_fencing: bool) -> BackendServer {
+    BackendServer {
+        name: name.into(),
+        data_centre: data_centre.into(),
+        address: "http://127.0.0.1:1".to_owned(),
+        routes: BTreeSet::from(["timing-model".into()]),
+        kind,
+        price: if kind == ServerKind::Standard { 100 } else { 30 },
+        slots: 8,
+        cold_limit: 1,
+        checks_fencing,
+        in_service: true,
+    }
+}
+
+fn ignoring() -> BackendServer {
+    server("s1", CENTRE, ServerKind::Standard, false)
+}
+
+#[tokio::test]
+async fn an_order_without_an_answer_is_repeated_under_its_identifier() {
+    // Arrange: the order takes effect; its answer and that of its result are lost.
+    let platform = platform().await;
+    let a = Contender::start("a", &platform);
+    a.until_in_charge().await;
+    let lost = |words: &str| LostAnswer { matching: words.to_owned(), count: 1, hang: false };
+    let lost_answers = ["send order", "create orders", "update orders"].map(lost).to_vec();
+    platform.set_faults(PlatformFaults { lost_answers, ..PlatformFaults::default() });
+
+    // Act
+    let first = a.sender.give(&ignoring(), Action::Start).await;
+    let second = a.sender.give(&ignoring(), Action::Start).await;
+
+    // Assert
+    assert!(matches!(first, Err(OrderError::Unknown(_))), "{first:?}");
+    assert_eq!(second, Ok(OrderEnd::Done));
+    let ids: BTreeSet<String> = platform.orders().into_iter().map(|order| order.id).collect();
+    assert_eq!((ids.len(), platform.orders().len()), (1, 2));
+}
+
+#[tokio::test]
+async fn a_holder_frozen_past_its_lease_sends_nothing() {
+    let platform = platform().await;
+    let a = Contender::start("a", &platform);
+    a.until_in_charge().await;
+    let lease = a.lease.live().expect("held");
+
+    a.clock.advance(TERM);
+
+    assert!(lease.permit().is_none());
+    assert_eq!(a.sender.give(&ignoring(), Action::Stop).await, Err(OrderError::NoLease));
+    assert!(platform.orders().is_empty());
+}
+
+/// Lets one instance win the lease and then cuts it off from the platform until another one has it.
+async fn taken_over(platform: &Platform) -> (Contender, Contender, Relay) {
+    let relay = Relay::start(platform.address()).await.expect("relay");
+    let a = Contender::start_at("a", platform, format!("http://{}", relay.address()));
+    a.until_in_charge().await;
+    relay.refuse(true);
+    relay.cut();
+    let b = Contender::start("b", platform);
+    b.tell(&["a", "b"]);
+    b.until_in_charge().await;
+    (a, b, relay)
+}
+
+fn former(contender: &Contender) -> usize {
+    contender.lease.live().map_or(usize::MAX, |lease| lease.former().len())
+}
+
+#[tokio::test]
+async fn a_successor_spares_servers_that_ignore_fencing_until_the_former_holder_is_gone() {
+    // Arrange
+    let platform = platform().await;
+    let (a, b, _relay) = taken_over(&platform).await;
+    let checking = server("s2", CENTRE, ServerKind::Standard, true);
+
+    // Act: the former holder stays on the list, then leaves it.
+    let by_former = a.sender.give(&ignoring(), Action::Start).await;
+    let spared = b.sender.give(&ignoring(), Action::Start).await;
+    let fenced = b.sender.give(&checking, Action::Start).await;
+    b.tell(&["b"]);
+    let too_early = b.sender.give(&ignoring(), Action::Start).await;
+    eventually("the former holder is over", || former(&b) == 0).await;
+    let after = b.sender.give(&ignoring(), Action::Start).await;
+
+    // Assert
+    assert_eq!(by_former, Err(OrderError::NoLease));
+    assert_eq!((spared, fenced), (Err(OrderError::FormerHolder), Ok(OrderEnd::Done)));
+    assert_eq!((too_early, after), (Err(OrderError::FormerHolder), Ok(OrderEnd::Done)));
+    assert!(platform.orders().iter().all(|order| order.holder == "b" && order.fencing == 2));
+}
+
+#[tokio::test]
+async fn a_thawed_former_holder_acknowledges_that_it_lost_the_lease() {
+    let platform = platform().await;
+    let (a, b, relay) = taken_over(&platform).await;
+    let before = former(&b);
+
+    relay.refuse(false);
+
+    eventually("the former holder acknowledges", || former(&b) == 0).await;
+    assert_eq!(before, 1);
+    assert_eq!(b.sender.give(&ignoring(), Action::Start).await, Ok(OrderEnd::Done));
+    assert_eq!(a.sender.give(&ignoring(), Action::Stop).await, Err(OrderError::NoLease));
+}
+
+#[tokio::test]
+async fn a_released_lease_leaves_no_former_holder() {
+    let platform = platform().await;
+    let a = Contender::start("a", &platform);
+    a.until_in_charge().await;
+
+    a.controls.draining.send_replace(true);
+    let b = Contender::start("b", &platform);
+    b.until_in_charge().await;
+
+    assert!(a.lease.live().is_none());
+    assert_eq!(b.sender.give(&ignoring(), Action::Start).await, Ok(OrderEnd::Done));
+}
+
+/// Returns a configuration with one route of a tier, served in two data centres by both kinds.
+fn config(tier: u8) -> Config {
+    let class = Class {
+        name: "cues".into(),
+        tier: Tier(tier),
+        first_token_ms: 500,
+        token_gap_ms: 50,
+        promised_share: 0,
+        repeatability: Repeatability::Idempotent,
+    };
+    let route = Route {
+        name: "timing-model".into(),
+        target: RouteTarget::Model("timing-model".into()),
+        access: Access::Open,
+        class: "cues".into(),
+    };
+    let servers = ["kolkata-a", "kolkata-b"].into_iter().flat_map(|centre| {
+        [("std", ServerKind::Standard), ("rec", ServerKind::Reclaimable)].into_iter().flat_map(
+            move |(word, kind)| {
+                (0..3).map(move |n| server(&format!("{word}-{centre}-{n}"), centre, kind, true))
+            },
+        )
+    });
+    Config {
+        classes: [(class.name.clone(), class)].into(),
+        routes: [(route.name.clone(), route)].into(),
+        backend_servers: servers.map(|server| (server.name.clone(), server)).collect(),
+        ..Config::default()
+    }
+}
+
+fn loads(running: u32) -> Loads {
+    [("std-kolkata-a-0".into(), ServerLoad { running, ..ServerLoad::default() })].into()
+}
+
+#[rstest]
+#[case::top_tier_idle(0, 0, &["std-kolkata-a-0", "std-kolkata-b-0"])]
+#[case::top_tier_survives_a_lost_zone(0, 12, &[
+    "std-kolkata-a-0", "std-kolkata-a-1", "std-kolkata-b-0", "std-kolkata-b-1",
+])]
+#[case::lower_tier_takes_the_cheapest(3, 12, &[
+    "rec-kolkata-a-0", "rec-kolkata-a-1", "rec-kolkata-b-0",
+])]
+fn servers_follow_the_demand(#[case] tier: u8, #[case] demand: u32, #[case] expected: &[&str]) {
+    let config = config(tier);
+    let pools = pools(&config);
+
+    let wanted = Planner::default().wanted(&pools[0], &loads(demand), &BTreeSet::new());
+
+    let expected: BTreeSet<BackendServerName> =
+        expected.iter().map(|name| BackendServerName::from(*name)).collect();
+    assert_eq!(wanted, expected);
+}
+
+#[test]
+fn a_server_is_stopped_only_after_many_rounds_of_low_demand() {
+    let config = config(3);
+    let pools = pools(&config);
+    let mut planner = Planner::default();
+    let running: BTreeSet<BackendServerName> =
+        pools[0].servers.iter().map(|server| server.name.clone()).collect();
+
+    let mut wanted = || planner.wanted(&pools[0], &loads(4), &running).len();
+    let rounds: Vec<usize> = (0..30).map(|_| wanted()).collect();
+
+    assert!(rounds[..29].iter().all(|count| *count == 12));
+    assert_eq!(rounds[29], 1);
+}
--- /dev/null
+++ b/tests/usage_reporter.rs
@@ -0,0 +1,149 @@
+//! Windows are sealed and reported once when answers are lost, reporters race or are paused.
+
+mod usage_support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use laburnumvalve::clock::BootClock;
+use laburnumvalve::context::Context;
+use laburnumvalve::options::Options;
+use laburnumvalve::usage::chain::Chain;
+use laburnumvalve::usage::{Ledger, reporter, task};
+use standins::platform::{LostAnswer, Outage, PlatformFaults, ReportEnd};
+use standins::{Platform, PlatformSettings};
+use usage_support::{Controls, context, eventually, options, served};
+
+const TERM: Duration = Duration::from_millis(400);
+const WINDOW: Duration = Duration::from_millis(200);
+
+/// One instance with a usage task; its reporter starts on demand.
+struct Node {
+    cx: Context,
+    ledger: Ledger,
+    clock: BootClock,
+    _controls: Controls,
+}
+
+impl Node {
+    fn new(name: &str, platform: &Platform) -> Self {
+        let options = Options { lease_term: TERM, usage_window: WINDOW, ..options(name, platform) };
+        let (cx, controls) = context(options, 1);
+        let ledger = task::start(cx.clone());
+        Self { cx, ledger, clock: BootClock::default(), _controls: controls }
+    }
+
+    fn report(&self) {
+        reporter::start_with_clock(self.cx.clone(), self.clock.clone());
+    }
+
+    async fn record(&self, organisation: &str, count: u64) {
+        for _ in 0..count {
+            self.ledger.record(served(organisation, 5)).await;
+        }
+    }
+}
+
+async fn platform() -> Platform {
+    Platform::start(PlatformSettings::default()).await.expect("platform")
+}
+
+/// Returns the accepted requests of each organisation over all windows.
+fn accepted(platform: &Platform) -> BTreeMap<String, u64> {
+    let mut sum = BTreeMap::new();
+    for ((_, organisation), figures) in platform.accepted_usage() {
+        *sum.entry(organisation).or_default() += figures.requests;
+    }
+    sum
+}
+
+fn differing(platform: &Platform) -> usize {
+    platform.reports().iter().filter(|report| report.end == ReportEnd::Differing).count()
+}
+
+fn expected(pairs: &[(&str, u64)]) -> BTreeMap<String, u64> {
+    pairs.iter().map(|(name, count)| ((*name).to_owned(), *count)).collect()
+}
+
+#[tokio::test]
+async fn lost_answers_and_an_outage_change_no_figure() {
+    // Arrange: the first answers to seals, progress and reports are lost after taking effect.
+    let platform = platform().await;
+    let lost = |words: &str| LostAnswer { matching: words.to_owned(), count: 2, hang: false };
+    let lost_answers = ["create seals", "update seals", "report usage", "tallies"].map(lost);
+    platform.set_faults(PlatformFaults {
+        lost_answers: lost_answers.to_vec(),
+        ..PlatformFaults::default()
+    });
+    let (a, b) = (Node::new("a", &platform), Node::new("b", &platform));
+    a.report();
+    b.report();
+
+    // Act: work goes on before, during and after an outage of several windows and terms.
+    a.record("weavers", 20).await;
+    b.record("ward 7/বাংলা", 10).await;
+    eventually("a first report", || !platform.accepted_usage().is_empty()).await;
+    platform.change_faults(|faults| faults.outage = Some(Outage::Unavailable));
+    a.record("weavers", 15).await;
+    tokio::time::sleep(TERM * 3).await;
+    platform.change_faults(|faults| faults.outage = None);
+    b.record("weavers", 5).await;
+
+    // Assert
+    let all = expected(&[("ward 7/বাংলা", 10), ("weavers", 40)]);
+    eventually("all is reported", || accepted(&platform) == all).await;
+    tokio::time::sleep(WINDOW * 4).await;
+    assert_eq!(accepted(&platform), all);
+    assert_eq!(differing(&platform), 0);
+}
+
+#[tokio::test]
+async fn racing_reporters_end_with_the_same_seal() {
+    // Arrange: both read the chain; the second sees records that the first did not.
+    let platform = platform().await;
+    let (a, b) = (Node::new("a", &platform), Node::new("b", &platform));
+    let mut first = Chain::load(&a.cx).await.expect("chain");
+    let mut second = Chain::load(&b.cx).await.expect("chain");
+    a.record("weavers", 3).await;
+    assert!(a.ledger.flush().await);
+    let early = first.tallies(&a.cx).await.expect("tallies");
+    b.record("weavers", 4).await;
+    assert!(b.ledger.flush().await);
+    let late = second.tallies(&b.cx).await.expect("tallies");
+
+    // Act: the answer to the winning create is lost, and both seal the same window.
+    let lost = LostAnswer { matching: "create seals".to_owned(), count: 1, hang: false };
+    platform.change_faults(|faults| faults.lost_answers = vec![lost]);
+    let won = first.extend(&a.cx, &early, 7).await.expect("seal").expect("made");
+    let adopted = second.extend(&b.cx, &late, 7).await.expect("seal").expect("adopted");
+
+    // Assert: the records that missed it are in the next one.
+    assert_eq!(won, adopted);
+    assert_eq!(won.figures.values().map(|figures| figures.requests).sum::<u64>(), 3);
+    let next = second.extend(&b.cx, &late, 8).await.expect("seal").expect("made");
+    assert_eq!(next.figures.values().map(|figures| figures.requests).sum::<u64>(), 4);
+}
+
+#[tokio::test]
+async fn a_paused_reporter_sends_nothing_after_another_took_over() {
+    // Arrange: the first reporter's reports take effect, but it waits for answers in vain.
+    let platform = platform().await;
+    let (a, b) = (Node::new("a", &platform), Node::new("b", &platform));
+    let lost = LostAnswer { matching: "report usage".to_owned(), count: 1, hang: true };
+    platform.change_faults(|faults| faults.lost_answers = vec![lost]);
+    a.report();
+    a.record("weavers", 20).await;
+    eventually("the first report", || !platform.reports().is_empty()).await;
+
+    // Act: its machine is suspended for longer than the term; the other one takes over.
+    a.clock.advance(TERM * 100);
+    b.report();
+    b.record("weavers", 7).await;
+
+    // Assert: the same window was reported again with the same figures.
+    let all = expected(&[("weavers", 27)]);
+    eventually("all is reported", || accepted(&platform) == all).await;
+    let ends: Vec<ReportEnd> = platform.reports().iter().map(|report| report.end).collect();
+    assert!(ends.contains(&ReportEnd::Repeated), "{ends:?}");
+    assert_eq!(differing(&platform), 0);
+}
