--- /dev/null
+++ b/src/admin/mod.rs
@@ -0,0 +1,51 @@
+//! The administration API: HTTP for operators, their scripts and the metrics scraper.
+
+mod auth;
+mod health;
+mod keys;
+mod reply;
+mod service;
+mod sheets;
+mod status;
+mod timeline;
+
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::{Router, Server, Service};
+use tokio::net::TcpListener;
+
+use crate::config::ConfigHandle;
+use crate::context::Context;
+
+/// What the handlers of the administration API share.
+#[derive(Clone)]
+struct Admin {
+    cx: Context,
+    config: ConfigHandle,
+}
+
+/// Builds the routes of the administration API.
+pub fn router(cx: Context, config: ConfigHandle) -> Router {
+    let secret = auth::RequireSecret(cx.options.admin_secret.clone());
+    let admin = Admin { cx, config };
+    let open = Router::new()
+        .push(Router::with_path("ready").get(health::Ready(admin.clone())))
+        .push(Router::with_path("metrics").get(health::ShowMetrics(admin.clone())));
+    let guarded = Router::new()
+        .hoop(secret)
+        .push(sheets::router(&admin))
+        .push(keys::router(&admin))
+        .push(service::router(&admin))
+        .push(Router::with_path("status").get(status::ShowStatus(admin.clone())))
+        .push(Router::with_path("timeline").get(timeline::ShowTimeline(admin)));
+    Router::new().push(open).push(guarded)
+}
+
+/// Serves the administration API until the future is dropped.
+///
+/// # Errors
+/// If the listener can't be used.
+pub async fn serve(listener: TcpListener, cx: Context, config: ConfigHandle) -> eyre::Result<()> {
+    let acceptor = TcpAcceptor::try_from(listener)?;
+    Server::new(acceptor).try_serve(Service::new(router(cx, config))).await?;
+    Ok(())
+}
--- a/src/config/handle.rs
+++ b/src/config/handle.rs
@@ -6,9 +6,10 @@
 use tokio::sync::{mpsc, watch};
 
 use super::convert::{mark_to_message, marks_from_messages};
-use super::edit::{Accepted, ApplyError, Edit, Editor};
+use super::edit::Editor;
 use super::model::{Config, Key, KeyHash};
 use super::persist::Persister;
+use super::plan::{Accepted, ApplyError, Edit};
 use super::pull::{Pull, Pulls, run_pulls};
 use super::spread::{Audience, spread};
 use super::start::bootstrap;
@@ -165,7 +166,7 @@
     }
 
     /// Answers a peer that wants the configuration.
-    pub fn fetch(&self, req: v1::FetchConfigRequest) -> v1::FetchConfigReply {
+    pub async fn fetch(&self, req: v1::FetchConfigRequest) -> v1::FetchConfigReply {
         let state = self.state();
         let marks = state.marks().iter().map(|mark| mark_to_message(&mark)).collect();
         let newer = state.root().filter(|root| root.version > req.known_version);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 #[macro_use]
 mod macros;
 
+pub mod admin;
 pub mod claim;
 pub mod cli;
 pub mod clock;
@@ -17,11 +18,13 @@
 pub mod log;
 pub mod metrics;
 pub mod names;
+pub mod operate;
 pub mod options;
 pub mod orders;
 pub mod outcome;
 pub mod peer;
 pub mod platform;
 pub mod serve;
+pub mod sheet;
 pub mod timer;
 pub mod usage;
--- a/src/orders/mod.rs
+++ b/src/orders/mod.rs
@@ -5,7 +5,6 @@
 
 pub mod client;
 pub mod intent;
-pub mod pace;
 pub mod plan;
 pub mod planner;
 pub mod sender;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,7 +14,6 @@
 use crate::clock::Clock;
 use crate::config::{self, ConfigHandle, InForce};
 use crate::context::Context;
-use crate::entry;
 use crate::event::{EventKind, Recorder};
 use crate::home::{self, Admitter, Homes};
 use crate::metrics::Metrics;
@@ -25,6 +24,7 @@
 use crate::platform::Objects;
 use crate::timer::Timer;
 use crate::usage::{self, Ledger};
+use crate::{admin, entry, orders};
 
 /// Reports of peers' configuration that may wait to be compared.
 const HEARD_QUEUE: usize = 1_024;
@@ -86,6 +86,7 @@
     let config = config::start(cx.clone(), in_force);
     let homes = home::start(cx.clone());
     let ledger = usage::start(cx.clone());
+    orders::start(cx.clone(), config.clone());
     let claims = Claims::new(cx.clone());
     let (heard, heard_rx) = mpsc::channel(HEARD_QUEUE);
     let outputs = Outputs { members, loads, heard };
@@ -95,6 +96,8 @@
     let peers =
         PeerService { cx: cx.clone(), membership, config: config.clone(), ledger: ledger.clone() };
     let mut peers = tokio::spawn(serve_peers(sockets.peers, cx.clone(), peers, homes));
+    let admin = admin::serve(sockets.admin, cx.clone(), config);
+    let mut admin = tokio::spawn(admin);
     let admitter = Admitter::new(cx.clone());
     let entry = entry::serve(sockets.callers, cx.clone(), admitter, ledger.clone(), claims);
     let mut entry = tokio::spawn(entry);
@@ -103,6 +106,7 @@
     tokio::select! {
         () = stop => {}
         ended = &mut entry => ended??,
+        ended = &mut admin => ended??,
         ended = &mut peers => ended??,
     }
     drain(&cx, &draining, entry, &ledger).await
