--- a/src/usage/task.rs
+++ b/src/usage/task.rs
@@ -20,6 +20,9 @@
 /// Messages that wait for the task.
 const QUEUE: usize = 10_000;
 
+/// Gauge of the usage records that the object API does not hold yet.
+const RECORDS_GAUGE: &str = "usage_records";
+
 /// The end of a job.
 enum Done {
     Delivered { slot: usize, up_to: u64, durable: u64, success: bool },
@@ -162,6 +165,8 @@
 
     /// Tries again what failed, and writes the records of processes that are gone.
     fn on_retry(&mut self) {
+        self.cx.metrics.set(RECORDS_GAUGE, "own", self.own.pending.len() as u64);
+        self.cx.metrics.set(RECORDS_GAUGE, "kept", self.kept.len() as u64);
         if !self.flush_waiters.is_empty() {
             self.write_own();
         }
