--- /dev/null
+++ b/examples/demo.rs
@@ -0,0 +1,120 @@
+//! The main job on embedded stand-ins, over real sockets in one process.
+//!
+//! Requests of two organisations are streamed while one instance is stopped, one key is withdrawn
+//! and one data centre is taken out. Prints what happened; fails when anything promised failed.
+
+#[path = "demo_support/mod.rs"]
+mod demo_support;
+
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use demo_support::caller::{Caller, Outcome, Tally};
+use demo_support::fleet::Fleet;
+
+/// Requests streamed at once by each organisation.
+const STREAMS: usize = 4;
+/// How long traffic runs between two events.
+const PHASE: Duration = Duration::from_secs(3);
+/// Bound until a withdrawal or a taking-out is in force on every instance.
+const IN_FORCE_BOUND: Duration = Duration::from_secs(4);
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run().await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("demo: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run() -> eyre::Result<bool> {
+    let mut report = Report::default();
+    let mut fleet = Fleet::start().await?;
+    println!("3 instances, 2 data centres, 3 engines and the platform run on loopback");
+    let shobdo = fleet.issue_key("shobdo-samay").await?;
+    let marrowgate = fleet.issue_key("marrowgate").await?;
+    let withdrawn = fleet.issue_key("marrowgate").await?;
+    println!("one sheet was accepted and 3 keys were issued");
+
+    let callers: Vec<Caller> = [&shobdo, &marrowgate]
+        .iter()
+        .flat_map(|key| (0..STREAMS).map(|_| Caller::start(fleet.entries(), key.secret.clone())))
+        .collect();
+
+    tokio::time::sleep(PHASE).await;
+    println!("stopping instance valve-3 gracefully, with requests under way");
+    fleet.stop_instance(2).await?;
+    for caller in &callers {
+        caller.leave(fleet.entry(2));
+    }
+
+    tokio::time::sleep(PHASE).await;
+    fleet.withdraw_key(&withdrawn.id).await?;
+    let since = Instant::now();
+    let refused = fleet.until_refused_everywhere(&withdrawn.secret, IN_FORCE_BOUND).await;
+    report.check("a withdrawn key is refused everywhere within 4 s", refused);
+    println!("  in force after {} ms", since.elapsed().as_millis());
+
+    fleet.take_out("kolkata-b").await?;
+    tokio::time::sleep(IN_FORCE_BOUND).await;
+    let runs_before = fleet.runs_in_kolkata_b();
+    tokio::time::sleep(PHASE).await;
+    let runs_after = fleet.runs_in_kolkata_b();
+    report.check("a data centre taken out gets no new work after 4 s", runs_before == runs_after);
+
+    let mut tally = Tally::default();
+    for caller in callers {
+        tally.add(&caller.finish().await);
+    }
+    print_tally(&tally);
+    report.check("requests were answered", tally.count(Outcome::Whole) > 0);
+    report.check("no answer was cut or wrong", tally.count(Outcome::Broken) == 0);
+    report.check("no request was refused", tally.count(Outcome::Refused) == 0);
+    report.check("no request ran twice", fleet.most_runs_of_one_request() <= 1);
+    report.check("no engine received a key", !fleet.engines_saw_any(&[&shobdo, &marrowgate]));
+
+    fleet.stop_all().await?;
+    let billed = fleet.billed_requests().await;
+    let answered = tally.count(Outcome::Whole) as u64;
+    println!("{answered} answered requests, {billed} requests in sealed and reported windows");
+    report.check("each answered request was reported exactly once", billed == answered);
+    Ok(report.finish())
+}
+
+fn print_tally(tally: &Tally) {
+    println!(
+        "{} whole answers, {} refused, {} cut or wrong; first token: p50 {} ms, p95 {} ms",
+        tally.count(Outcome::Whole),
+        tally.count(Outcome::Refused),
+        tally.count(Outcome::Broken),
+        tally.first_token_ms(0.50),
+        tally.first_token_ms(0.95),
+    );
+}
+
+/// Collects what held and what did not.
+#[derive(Default)]
+struct Report {
+    held: usize,
+    failed: usize,
+}
+
+impl Report {
+    fn check(&mut self, promise: &str, holds: bool) {
+        println!("{} {promise}", if holds { "ok    " } else { "FAILED" });
+        if holds {
+            self.held += 1;
+        } else {
+            self.failed += 1;
+        }
+    }
+
+    fn finish(self) -> bool {
+        println!("{} promises held, {} failed", self.held, self.failed);
+        self.failed == 0
+    }
+}
--- /dev/null
+++ b/examples/demo_support/caller.rs
@@ -0,0 +1,145 @@
+//! Callers that stream requests one after another and check each answer.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+
+/// Tokens of each answer.
+const TOKENS: u64 = 24;
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The whole answer to the own request arrived.
+    Whole,
+    /// The request was refused before any token.
+    Refused,
+    /// The answer was cut, or not the one to the own request.
+    Broken,
+}
+
+/// Outcomes and times of the first token.
+#[derive(Default)]
+pub struct Tally {
+    outcomes: Vec<(Outcome, u64)>,
+}
+
+impl Tally {
+    /// Adds the outcomes of another tally.
+    pub fn add(&mut self, other: &Self) {
+        self.outcomes.extend(&other.outcomes);
+    }
+
+    /// Returns how many requests ended so.
+    pub fn count(&self, outcome: Outcome) -> usize {
+        self.outcomes.iter().filter(|(found, _)| *found == outcome).count()
+    }
+
+    /// Returns a quantile of the time to the first token in milliseconds.
+    pub fn first_token_ms(&self, quantile: f64) -> u64 {
+        let mut histogram = Histogram::<u64>::new(3).expect("3 figures are allowed");
+        let whole = self.outcomes.iter().filter(|(outcome, _)| *outcome == Outcome::Whole);
+        whole.for_each(|(_, ms)| histogram.saturating_record(*ms));
+        histogram.value_at_quantile(quantile)
+    }
+}
+
+/// A running caller.
+pub struct Caller {
+    stop: Arc<AtomicBool>,
+    entries: Arc<Mutex<Vec<SocketAddr>>>,
+    task: JoinHandle<Tally>,
+}
+
+impl Caller {
+    /// Starts to stream requests to the entries in turn.
+    pub fn start(entries: Vec<SocketAddr>, key: String) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let entries = Arc::new(Mutex::new(entries));
+        let task = tokio::spawn(stream_until(stop.clone(), entries.clone(), key));
+        Self { stop, entries, task }
+    }
+
+    /// Sends no more requests to an entry, as a balancer does with a leaving instance.
+    pub fn leave(&self, entry: SocketAddr) {
+        let mut entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
+        entries.retain(|known| *known != entry);
+    }
+
+    /// Lets the current request end; returns all outcomes.
+    pub async fn finish(self) -> Tally {
+        self.stop.store(true, Ordering::Relaxed);
+        self.task.await.unwrap_or_default()
+    }
+}
+
+async fn stream_until(
+    stop: Arc<AtomicBool>,
+    entries: Arc<Mutex<Vec<SocketAddr>>>,
+    key: String,
+) -> Tally {
+    let http = reqwest::Client::builder().no_proxy().build().unwrap_or_default();
+    let mut tally = Tally::default();
+    let mut turn = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let entry = {
+            let entries = entries.lock().unwrap_or_else(PoisonError::into_inner);
+            entries[turn % entries.len()]
+        };
+        turn += 1;
+        tally.outcomes.push(stream_one(&http, entry, &key, turn).await);
+    }
+    tally
+}
+
+/// Streams one request; returns how it ended and the time to the first token in milliseconds.
+async fn stream_one(
+    http: &reqwest::Client,
+    entry: SocketAddr,
+    key: &str,
+    turn: usize,
+) -> (Outcome, u64) {
+    let messages = json!([{ "role": "user", "content": format!("cue sheet {turn} of {key:.12}") }]);
+    let body = json!({
+        "model": "timing-model", "messages": messages, "max_tokens": TOKENS, "stream": true,
+    });
+    let started = Instant::now();
+    let url = format!("http://{entry}/v1/chat/completions");
+    let answer = http.post(url).bearer_auth(key).json(&body).send().await;
+    let Ok(mut answer) = answer else { return (Outcome::Refused, 0) };
+    if !answer.status().is_success() {
+        eprintln!("refused: {}", answer.text().await.unwrap_or_default());
+        return (Outcome::Refused, 0);
+    }
+    let mut first = None;
+    let mut text = Vec::new();
+    while let Ok(Some(bytes)) = answer.chunk().await {
+        text.extend_from_slice(&bytes);
+        if first.is_none() && text.windows(10).any(|window| window == b"\"content\":") {
+            first = Some(started.elapsed().as_millis() as u64);
+        }
+    }
+    let expected = standins::tokens::answer(&messages, TOKENS);
+    if read_stream(&String::from_utf8_lossy(&text)).as_deref() == Some(&expected) {
+        (Outcome::Whole, first.unwrap_or_default())
+    } else {
+        (Outcome::Broken, 0)
+    }
+}
+
+/// Joins the pieces of a stream; none if it did not end well.
+fn read_stream(text: &str) -> Option<String> {
+    let events: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("data: ")).collect();
+    let (last, chunks) = events.split_last()?;
+    if *last != "[DONE]" {
+        return None;
+    }
+    let chunks: Vec<Value> = chunks.iter().filter_map(|c| serde_json::from_str(c).ok()).collect();
+    let pieces = chunks.iter().filter_map(|c| c["choices"][0]["delta"]["content"].as_str());
+    Some(pieces.collect())
+}
--- /dev/null
+++ b/examples/demo_support/fleet.rs
@@ -0,0 +1,285 @@
+//! Three instances, their engines and the platform, all in this process.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use eyre::{WrapErr, ensure};
+use laburnumvalve::options::{Options, Secret};
+use laburnumvalve::serve::{self, Sockets};
+use reqwest::StatusCode;
+use serde_json::{Value, json};
+use standins::platform::ListedInstance;
+use standins::{Engine, EngineSettings, Platform, PlatformSettings};
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+const ADMIN_SECRET: &str = "demonstration-admin-secret";
+const FLEET_SECRET: &str = "demonstration-fleet-secret";
+/// Length of a usage window of the demonstration.
+const WINDOW: Duration = Duration::from_secs(2);
+/// How long an instance may take to become ready or to stop.
+const STEP_BOUND: Duration = Duration::from_secs(20);
+/// How long the last window may take until it is reported.
+const REPORT_BOUND: Duration = Duration::from_secs(20);
+/// Pause between two looks at something that is awaited.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// A key as it was issued.
+pub struct IssuedKey {
+    /// Public identifier.
+    pub id: String,
+    /// The key itself.
+    pub secret: String,
+}
+
+/// One running instance.
+struct Running {
+    entry: SocketAddr,
+    admin: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    task: Option<JoinHandle<eyre::Result<()>>>,
+}
+
+/// The running parts.
+pub struct Fleet {
+    platform: Platform,
+    engines: Vec<(&'static str, Engine)>,
+    instances: Vec<Running>,
+    http: reqwest::Client,
+}
+
+impl Fleet {
+    /// Starts everything and accepts the sheet.
+    pub async fn start() -> eyre::Result<Self> {
+        let platform = Platform::start(PlatformSettings::default()).await?;
+        let mut engines = Vec::new();
+        for data_centre in ["kolkata-a", "kolkata-a", "kolkata-b"] {
+            engines.push((data_centre, Engine::start(EngineSettings::default()).await?));
+        }
+        let mut instances = Vec::new();
+        for (name, data_centre) in
+            [("valve-1", "kolkata-a"), ("valve-2", "kolkata-a"), ("valve-3", "kolkata-b")]
+        {
+            instances.push(start_instance(name, data_centre, &platform).await?);
+        }
+        let http = reqwest::Client::builder().no_proxy().build()?;
+        let fleet = Self { platform, engines, instances, http };
+        let sheet = sheet(&fleet.engines);
+        let accepted = fleet.admin(0, reqwest::Method::POST, "/sheet/apply", sheet.into()).await?;
+        ensure!(accepted["version"].is_u64(), "the sheet was refused: {accepted}");
+        for index in 0..fleet.instances.len() {
+            fleet.wait_ready(index).await?;
+        }
+        Ok(fleet)
+    }
+
+    /// Returns the addresses for callers.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.instances.iter().map(|instance| instance.entry).collect()
+    }
+
+    /// Returns the address for callers of one instance.
+    pub fn entry(&self, index: usize) -> SocketAddr {
+        self.instances[index].entry
+    }
+
+    /// Issues a key and waits until every instance knows it.
+    pub async fn issue_key(&self, organisation: &str) -> eyre::Result<IssuedKey> {
+        let body = json!({ "organisation": organisation }).to_string();
+        let issued = self.admin(0, reqwest::Method::POST, "/keys", body.into()).await?;
+        let text = |name: &str| issued[name].as_str().map(str::to_owned);
+        let pair = text("id").zip(text("key"));
+        let (id, secret) = pair.ok_or_else(|| eyre::eyre!("no key was issued: {issued}"))?;
+        let known = self.until_everywhere(&secret, StatusCode::OK, STEP_BOUND).await;
+        ensure!(known, "an instance does not accept the new key");
+        Ok(IssuedKey { id, secret })
+    }
+
+    /// Withdraws a key at the first instance.
+    pub async fn withdraw_key(&self, id: &str) -> eyre::Result<()> {
+        let path = format!("/keys/{id}");
+        self.admin(0, reqwest::Method::DELETE, &path, "".into()).await.map(drop)
+    }
+
+    /// Takes a data centre out of service at the first instance.
+    pub async fn take_out(&self, data_centre: &str) -> eyre::Result<()> {
+        let path = format!("/data-centres/{data_centre}/service");
+        let body = json!({ "in_service": false }).to_string();
+        self.admin(0, reqwest::Method::PUT, &path, body.into()).await.map(drop)
+    }
+
+    /// Waits until every running instance refuses a key; returns whether it came to that.
+    pub async fn until_refused_everywhere(&self, key: &str, bound: Duration) -> bool {
+        self.until_everywhere(key, StatusCode::UNAUTHORIZED, bound).await
+    }
+
+    /// Stops one instance gracefully; returns when it stopped.
+    pub async fn stop_instance(&mut self, index: usize) -> eyre::Result<()> {
+        let instance = &mut self.instances[index];
+        if let Some(stop) = instance.stop.take() {
+            // An instance that ended by itself is reported by its task below.
+            let _ = stop.send(());
+        }
+        if let Some(task) = instance.task.take() {
+            tokio::time::timeout(STEP_BOUND, task).await.wrap_err("an instance goes on")???;
+        }
+        Ok(())
+    }
+
+    /// Stops the running instances but the first one, which then reports the usage of all.
+    pub async fn stop_all(&mut self) -> eyre::Result<()> {
+        for index in 1..self.instances.len() {
+            self.stop_instance(index).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the requests in accepted usage reports, when their number has settled.
+    pub async fn billed_requests(&self) -> u64 {
+        let deadline = Instant::now() + REPORT_BOUND;
+        let recorded = self.engines.iter().map(|(_, engine)| engine.runs().len() as u64).sum();
+        while Instant::now() < deadline && self.reported_requests() < recorded {
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+        tokio::time::sleep(WINDOW * 2).await;
+        self.reported_requests()
+    }
+
+    /// Returns the number of requests that the engine in `kolkata-b` has begun.
+    pub fn runs_in_kolkata_b(&self) -> usize {
+        let engines = self.engines.iter().filter(|(centre, _)| *centre == "kolkata-b");
+        engines.map(|(_, engine)| engine.runs().len()).sum()
+    }
+
+    /// Returns the largest number of times that a request was begun.
+    pub fn most_runs_of_one_request(&self) -> usize {
+        let mut counts = std::collections::BTreeMap::new();
+        for run in self.engines.iter().flat_map(|(_, engine)| engine.runs()) {
+            *counts.entry(run.request_id).or_insert(0) += 1;
+        }
+        counts.into_values().max().unwrap_or_default()
+    }
+
+    /// Returns whether any of the keys is among the bytes that engines received.
+    pub fn engines_saw_any(&self, keys: &[&IssuedKey]) -> bool {
+        self.engines.iter().any(|(_, engine)| {
+            let bytes = engine.relay().recorded();
+            keys.iter().any(|key| {
+                bytes.windows(key.secret.len()).any(|window| window == key.secret.as_bytes())
+            })
+        })
+    }
+
+    fn reported_requests(&self) -> u64 {
+        self.platform.accepted_usage().values().map(|figures| figures.requests).sum()
+    }
+
+    async fn until_everywhere(&self, key: &str, status: StatusCode, bound: Duration) -> bool {
+        let deadline = Instant::now() + bound;
+        while Instant::now() < deadline {
+            let mut all = true;
+            for instance in self.instances.iter().filter(|instance| instance.task.is_some()) {
+                let url = format!("http://{}/v1/models", instance.entry);
+                let answer = self.http.get(url).bearer_auth(key).send().await;
+                all &= answer.is_ok_and(|answer| answer.status() == status);
+            }
+            if all {
+                return true;
+            }
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+        false
+    }
+
+    async fn wait_ready(&self, index: usize) -> eyre::Result<()> {
+        let url = format!("http://{}/ready", self.instances[index].admin);
+        let deadline = Instant::now() + STEP_BOUND;
+        while Instant::now() < deadline {
+            let answer = self.http.get(&url).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+        eyre::bail!("instance {} is not ready", index + 1)
+    }
+
+    async fn admin(
+        &self,
+        index: usize,
+        method: reqwest::Method,
+        path: &str,
+        body: reqwest::Body,
+    ) -> eyre::Result<Value> {
+        let url = format!("http://{}{path}", self.instances[index].admin);
+        let req = self.http.request(method, url).bearer_auth(ADMIN_SECRET).body(body);
+        let answer = req.send().await?;
+        let status = answer.status();
+        let text = answer.text().await?;
+        ensure!(status.is_success(), "{path}: {status}: {text}");
+        Ok(serde_json::from_str(&text).unwrap_or_default())
+    }
+}
+
+/// Starts one instance and lists it on the platform.
+async fn start_instance(
+    name: &str,
+    data_centre: &str,
+    platform: &Platform,
+) -> eyre::Result<Running> {
+    let any = standins::ANY_PORT;
+    let mut options = Options {
+        instance: name.into(),
+        data_centre: data_centre.into(),
+        listen: any,
+        peer_listen: any,
+        admin_listen: any,
+        platform: platform.url(),
+        orders: platform.url(),
+        usage: platform.url(),
+        fleet_secret: Secret::new(FLEET_SECRET),
+        admin_secret: Secret::new(ADMIN_SECRET),
+        usage_window: WINDOW,
+        ..Options::default()
+    };
+    let sockets = Sockets::bind(&options).await?;
+    options.listen = sockets.callers.local_addr()?;
+    options.peer_listen = sockets.peers.local_addr()?;
+    options.admin_listen = sockets.admin.local_addr()?;
+    platform.register(ListedInstance {
+        name: name.to_owned(),
+        data_centre: data_centre.to_owned(),
+        peer_address: options.peer_listen,
+        ready: true,
+        terminating: false,
+    });
+    let (entry, admin) = (options.listen, options.admin_listen);
+    let (stop, stopped) = oneshot::channel::<()>();
+    let task = tokio::spawn(serve::run(options, sockets, async move {
+        // A dropped sender also means that the instance is to stop.
+        let _ = stopped.await;
+    }));
+    Ok(Running { entry, admin, stop: Some(stop), task: Some(task) })
+}
+
+/// Returns the sheet that operators accept in the demonstration.
+fn sheet(engines: &[(&'static str, Engine)]) -> String {
+    let mut sheet = "\
+table,name,tier,first-token-ms,token-gap-ms,promised-share,repeatable,model,access,class,weight,max-waiting,routes,region,data-centre,address,kind,price,slots,cold-limit,checks-fencing,in-service
+class,question,0,760,62,10,yes,,,,,,,,,,,,,,,
+route,timing,,,,,,timing-model,granted,question,,,,,,,,,,,,
+organisation,shobdo-samay,,,,,,,,,1,100,timing,,,,,,,,,
+organisation,marrowgate,,,,,,,,,1,100,timing,,,,,,,,,
+data-centre,kolkata-a,,,,,,,,,,,,bengal-east,,,,,,,,yes
+data-centre,kolkata-b,,,,,,,,,,,,bengal-east,,,,,,,,yes
+"
+    .to_owned();
+    for (index, (data_centre, engine)) in engines.iter().enumerate() {
+        let url = engine.url();
+        sheet.push_str(&format!(
+            "backend-server,engine-{},,,,,,,,,,,timing,,{data_centre},{url},standard,1,8,2,yes,yes\n",
+            index + 1
+        ));
+    }
+    sheet
+}
