--- a/src/admin/keys.rs
+++ b/src/admin/keys.rs
@@ -6,12 +6,10 @@
 use serde_json::json;
 
 use super::Admin;
+use super::body::read_json;
 use super::reply::{answer, refuse, refuse_edit, refuse_unknown};
 use crate::names::{ClassName, KeyId, OrganisationName};
 
-/// Largest body of a request for a key in bytes.
-const MAX_BODY: usize = 64 << 10;
-
 /// Builds the routes below `/keys`.
 pub fn router(admin: &Admin) -> Router {
     Router::with_path("keys")
@@ -35,7 +33,7 @@
 #[handler]
 impl IssueKey {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
-        let wanted: KeyRequest = match req.parse_json_with_max_size(MAX_BODY).await {
+        let wanted: KeyRequest = match read_json(req).await {
             Ok(wanted) => wanted,
             Err(error) => {
                 let message = format!("the body must be JSON with \"organisation\": {error}");
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,6 +1,7 @@
 //! The administration API: HTTP for operators, their scripts and the metrics scraper.
 
 mod auth;
+mod body;
 mod health;
 mod keys;
 mod reply;
--- a/src/admin/service.rs
+++ b/src/admin/service.rs
@@ -6,12 +6,10 @@
 use serde_json::json;
 
 use super::Admin;
+use super::body::read_json;
 use super::reply::{answer, refuse, refuse_unknown};
 use crate::config::MarkTarget;
 
-/// Largest body of an order in bytes.
-const MAX_BODY: usize = 4 << 10;
-
 /// Builds the routes below `/data-centres` and `/backend-servers`.
 pub fn router(admin: &Admin) -> Router {
     let centres = SetDataCentre(admin.clone());
@@ -59,7 +57,7 @@
 
 impl Admin {
     async fn set_service(&self, target: MarkTarget, req: &mut Request, res: &mut Response) {
-        let order: ServiceOrder = match req.parse_json_with_max_size(MAX_BODY).await {
+        let order: ServiceOrder = match read_json(req).await {
             Ok(order) => order,
             Err(error) => {
                 let message = format!("the body must be {{\"in_service\": true|false}}: {error}");
