Write each shard once in an edit that is tried again

Cause: an edit refused by the platform's rate limit wrote all its shards again, three calls each, so that it met the limit again. The shards written since the root was last seen to change are left out now.

--- a/src/config/edit.rs
+++ b/src/config/edit.rs
@@ -4,6 +4,7 @@
 //! that it takes effect as a whole or not at all. A lost answer is decided by the identifier of
 //! the edit, which the root remembers.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,7 +22,7 @@
 
 /// Time after which an edit is given up.
 const EDIT_BOUND: Duration = Duration::from_secs(10);
-/// Delay before an edit is tried again.
+/// Shortest delay before an edit is tried again; the longest is three times as long.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// An accepted edit with the root and shards to put in force.
@@ -43,6 +44,27 @@
     state: watch::Receiver<State>,
 }
 
+/// What the attempts of one edit have done so far.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Whether the root may have been replaced by an attempt without an answer.
+    root_maybe_written: bool,
+    /// Version of the root object that the attempts start from.
+    base: Option<String>,
+    /// Shards written since then; once the root changes, another edit may delete them.
+    written: BTreeSet<String>,
+}
+
+impl Progress {
+    /// Forgets the written shards if the root was replaced since the last attempt.
+    fn start_from(&mut self, base: Option<&str>) {
+        if self.base.as_deref() != base {
+            self.base = base.map(ToOwned::to_owned);
+            self.written.clear();
+        }
+    }
+}
+
 /// How one attempt of an edit ended.
 enum Attempt {
     Done(Outcome),
@@ -69,25 +91,25 @@
     pub async fn run(&self, edit: &Edit) -> Result<Outcome, ApplyError> {
         let id = uuid::Uuid::new_v4().simple().to_string();
         let deadline = Instant::now() + EDIT_BOUND;
-        let mut root_maybe_written = false;
+        let mut progress = Progress::default();
         loop {
-            let error = match self.attempt(edit, &id, &mut root_maybe_written).await {
+            let error = match self.attempt(edit, &id, &mut progress).await {
                 Attempt::Done(outcome) => return Ok(outcome),
                 Attempt::Failed(error) => return Err(error),
                 Attempt::Again(error) => error,
             };
             if Instant::now() >= deadline {
                 let why = error.to_string();
-                return Err(match root_maybe_written {
+                return Err(match progress.root_maybe_written {
                     true => ApplyError::Unknown(why),
                     false => ApplyError::Unavailable(why),
                 });
             }
-            tokio::time::sleep(RETRY_DELAY).await;
+            tokio::time::sleep(RETRY_DELAY.mul_f64(rand::random_range(1.0..3.0))).await;
         }
     }
 
-    async fn attempt(&self, edit: &Edit, id: &str, root_maybe_written: &mut bool) -> Attempt {
+    async fn attempt(&self, edit: &Edit, id: &str, progress: &mut Progress) -> Attempt {
         let (base, stored) = match self.read_stored().await {
             Ok(read) => read,
             Err(error) => return error.into(),
@@ -103,7 +125,7 @@
             }
             Err(error) => return Attempt::Failed(error),
         };
-        self.write(base.as_deref(), &stored, plan, root_maybe_written).await
+        self.write(base.as_deref(), &stored, plan, progress).await
     }
 
     /// Reads marks before the root, so that a mark missing from them is in the root.
@@ -141,20 +163,22 @@
         base: Option<&str>,
         stored: &Stored,
         plan: Plan,
-        root_maybe_written: &mut bool,
+        progress: &mut Progress,
     ) -> Attempt {
+        progress.start_from(base);
         let deletable = self.store.shard_versions(&plan.deleted).await;
         let changed: Vec<Shard> = plan
             .shards
             .values()
             .filter(|shard| !stored.shards.contains_key(shard.hash()))
+            .filter(|shard| !progress.written.contains(shard.hash()))
             .cloned()
             .collect();
-        if let Err(error) = self.store.write_shards(changed).await {
+        if let Err(error) = self.store.write_shards(changed, &mut progress.written).await {
             return error.into();
         }
         if let Err(error) = self.store.write_root(base, &plan.root).await {
-            *root_maybe_written |= matches!(error, PlatformError::Unknown(_));
+            progress.root_maybe_written |= matches!(error, PlatformError::Unknown(_));
             return error.into();
         }
         self.store.delete_shards(deletable).await;
--- a/src/config/store.rs
+++ b/src/config/store.rs
@@ -1,5 +1,6 @@
 //! The configuration in the platform's object API: the root, the shards and the marks.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use futures::StreamExt;
@@ -84,28 +85,33 @@
             .map_err(|error| PlatformError::Malformed(error.to_string()))
     }
 
-    /// Writes shards; those that exist already are written again, so that a concurrent deletion
-    /// of the old object fails.
+    /// Writes shards and adds the hashes of those that are stored to `written`.
+    ///
+    /// A shard that exists already is written again, so that a concurrent deletion of the old
+    /// object fails.
     ///
     /// # Errors
     /// If a call failed; some shards may be stored then, which does no harm.
-    pub async fn write_shards(&self, shards: Vec<Shard>) -> Result<(), PlatformError> {
-        let mut writes =
-            futures::stream::iter(shards.into_iter().map(|shard| self.write_shard(shard)))
-                .buffer_unordered(PARALLEL_CALLS);
-        while let Some(written) = writes.next().await {
-            written?;
+    pub async fn write_shards(
+        &self,
+        shards: Vec<Shard>,
+        written: &mut BTreeSet<String>,
+    ) -> Result<(), PlatformError> {
+        let writes = shards.into_iter().map(|shard| self.write_shard(shard));
+        let mut writes = futures::stream::iter(writes).buffer_unordered(PARALLEL_CALLS);
+        while let Some(hash) = writes.next().await {
+            written.insert(hash?);
         }
         Ok(())
     }
 
-    async fn write_shard(&self, shard: Shard) -> Result<(), PlatformError> {
+    async fn write_shard(&self, shard: Shard) -> Result<String, PlatformError> {
         let name = shard_name(shard.hash());
         let stored = StoredShard { body: shard.body().to_owned() };
         let mut failure = PlatformError::Conflict;
         for _ in 0..SHARD_ATTEMPTS {
             match self.create_or_rewrite(&name, &stored).await {
-                Ok(()) => return Ok(()),
+                Ok(()) => return Ok(shard.hash().to_owned()),
                 Err(refused @ PlatformError::Refused(_)) => return Err(refused),
                 Err(error) => failure = error,
             }
--- a/tests/config_edits.rs
+++ b/tests/config_edits.rs
@@ -2,10 +2,11 @@
 
 mod config_support;
 
-use config_support::{config_of_weight, start_node, start_platform};
-use laburnumvalve::config::{Accepted, ApplyError, KeyHash};
+use config_support::{config_of_weight, introduce, sheet_of_weight, start_node, start_platform};
+use laburnumvalve::config::{Accepted, ApplyError, Config, KeyHash};
 use rstest::rstest;
 use standins::platform::LostAnswer;
+use standins::{Platform, PlatformSettings};
 
 #[tokio::test]
 async fn of_two_operators_at_once_one_wins_and_the_other_is_told() {
@@ -115,3 +116,55 @@
     assert!(matches!(no_class, Err(ApplyError::UnknownName(_))));
     assert_eq!(platform.objects("configs")["root"]["version"], 1);
 }
+
+/// Writes a configuration of the size at which the system is to run.
+fn full_size_config(weight: u32) -> Config {
+    let mut sheet = sheet_of_weight(weight);
+    for model in 0..14 {
+        sheet.push_str(&format!("route,m-{model},,,,,model-{model},granted,live,,,,,,,,\n"));
+    }
+    let routes: Vec<String> = (0..14).map(|model| format!("m-{model}")).collect();
+    let routes = routes.join(" ");
+    for number in 0..3_898 {
+        sheet.push_str(&format!("organisation,org-{number},,,,,,,,{weight},,,,{routes},,,\n"));
+    }
+    for number in 0..1_499 {
+        let address = format!("http://10.1.0.1:{}", 1_000 + number);
+        sheet.push_str(&format!(
+            "backend-server,s-{number},,,,,,,,,,kolkata-a,{address},{routes},8,2,yes\n"
+        ));
+    }
+    laburnumvalve::sheet::parse(sheet.as_bytes()).expect("a sound sheet")
+}
+
+#[tokio::test]
+async fn a_sheet_of_full_size_fits_the_platform_and_reaches_three_instances() {
+    let limits = PlatformSettings {
+        writes_per_second: Some(300),
+        reads_per_second: Some(2_000),
+        ..PlatformSettings::default()
+    };
+    let platform = Platform::start(limits).await.expect("the platform can't be started");
+    let mut nodes = Vec::new();
+    for name in ["a", "b", "c"] {
+        nodes.push(start_node(name, &platform.url(), &[]).await);
+    }
+    introduce(&nodes.iter().collect::<Vec<_>>());
+    let start = std::time::Instant::now();
+
+    nodes[0].config.apply(full_size_config(1), 0).await.expect("the first sheet is accepted");
+    let first = start.elapsed();
+    nodes[1].until_version(1).await;
+    let changed = nodes[1].config.apply(full_size_config(2), 1).await.expect("accepted");
+
+    for node in &nodes {
+        node.until_version(changed.version).await;
+        assert_eq!(node.in_force().config.organisations.len(), 3_900);
+        assert_eq!(node.in_force().config.backend_servers.len(), 1_500);
+    }
+    // Wall-clock times depend on the machine, so they are printed only.
+    println!("first sheet accepted after {first:?}, all done after {:?}", start.elapsed());
+    let writes =
+        platform.calls_matching("create configs") + platform.calls_matching("update configs");
+    assert!(writes <= 300, "{writes} writes for two sheets");
+}
