--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod names;
 pub mod operate;
 pub mod options;
+pub mod orders;
 pub mod outcome;
 pub mod peer;
 pub mod platform;
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -265,7 +265,7 @@
             marks_digest: reply.marks_digest,
             members_revision: reply.members_revision,
             draining: reply.draining,
-            loads: self.homes.loads().borrow().to_vec(),
+            loads: self.homes.loads(),
             uses: Vec::new(),
             program_version: env!("CARGO_PKG_VERSION").to_owned(),
         }
@@ -387,8 +387,8 @@
             .iter()
             .map(|(name, (_, load))| (name.as_str().into(), load.clone()))
             .collect();
-        for load in self.homes.loads().borrow().iter() {
-            loads.insert(load.backend_server.as_str().into(), load.clone());
+        for load in self.homes.loads() {
+            loads.insert(load.backend_server.as_str().into(), load);
         }
         self.outputs.loads.send_replace(Arc::new(loads));
     }
