Test the entry in front of engines and a plain service with faults

Found by the tests and mended: a claim was taken over at once when its holder was not in the lagging list of instances, and the former holder was told that the object API failed. It now waits some seconds, and is told that another request took over.

--- a/src/claim/holder.rs
+++ b/src/claim/holder.rs
@@ -14,6 +14,8 @@
 
 /// Age after which a claim that was not marked as sent may be taken over.
 const TAKE_OVER_AFTER: Duration = Duration::from_secs(30);
+/// The same if the list of instances, which lags, does not hold the holder.
+const UNLISTED_TAKE_OVER_AFTER: Duration = Duration::from_secs(5);
 /// Delays before the answer of a request is stored again after a failure.
 const STORE_DELAYS: [Duration; 4] = [
     Duration::from_millis(500),
@@ -54,6 +56,15 @@
     place: Box<Place>,
 }
 
+/// Why a claim could not be marked as sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotMarked {
+    /// Another request took the claim over.
+    TakenOver,
+    /// The object API can't tell.
+    Unsure,
+}
+
 /// A claim's object as its holder knows it.
 struct Place {
     claims: Claims,
@@ -142,28 +153,29 @@
 
     /// Returns whether the holder of a claim is gone, or made it long ago.
     fn is_abandoned(&self, record: &ClaimRecord) -> bool {
-        let age = wall_millis().saturating_sub(record.created_ms);
+        let age = Duration::from_millis(wall_millis().saturating_sub(record.created_ms));
         let own_name = record.instance == self.cx.options.instance;
         let restarted = own_name && record.incarnation != self.cx.incarnation;
-        let members = self.cx.members.borrow();
-        let listed = own_name || members.listed.contains_key(&record.instance);
-        restarted || !listed || u128::from(age) > TAKE_OVER_AFTER.as_millis()
+        let listed = own_name || self.cx.members.borrow().listed.contains_key(&record.instance);
+        restarted || age > TAKE_OVER_AFTER || !listed && age > UNLISTED_TAKE_OVER_AFTER
     }
 }
 
 impl Claimed {
     /// Marks the claim as sent; call it before the first byte is written.
     ///
-    /// Returns none if it is not certain that the mark is written; then nothing may be sent.
-    pub async fn mark_sent(self) -> Option<SentClaim> {
+    /// # Errors
+    /// If it is not certain that the mark is written; then nothing may be sent.
+    pub async fn mark_sent(self) -> Result<SentClaim, NotMarked> {
         let Place { claims, name, version, record } = *self.place;
         let target = ClaimRecord { state: ClaimState::Sent, ..record };
         match claims.change(&name, &version, target.clone()).await {
             Changed::Written(version) => {
                 let place = Place { claims, name, version, record: target };
-                Some(SentClaim { place: Box::new(place) })
+                Ok(SentClaim { place: Box::new(place) })
             }
-            Changed::Lost | Changed::Unsure => None,
+            Changed::Lost => Err(NotMarked::TakenOver),
+            Changed::Unsure => Err(NotMarked::Unsure),
         }
     }
 
--- a/src/claim/mod.rs
+++ b/src/claim/mod.rs
@@ -13,5 +13,5 @@
 pub mod machine;
 pub mod record;
 
-pub use holder::{Claim, Claimed, Claims, SentClaim};
+pub use holder::{Claim, Claimed, Claims, NotMarked, SentClaim};
 pub use record::{ClaimRecord, ClaimState, StoredAnswer, StoredBody};
--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -6,7 +6,7 @@
 
 use super::auth::Denial;
 use super::dispatch::Dispatch;
-use crate::claim::{Claim, Claimed, Claims, SentClaim, StoredAnswer, StoredBody};
+use crate::claim::{Claim, Claimed, Claims, NotMarked, SentClaim, StoredAnswer, StoredBody};
 use crate::names::{OrganisationName, RequestId};
 use crate::outcome::{Refusal, RefusalCode, Unsent};
 
@@ -86,13 +86,9 @@
     /// If it is not certain that the mark is written; then nothing may be sent.
     pub async fn before_send(&mut self) -> Result<(), Denial> {
         match std::mem::replace(self, Self::Free) {
-            Self::Claimed(claimed) => match claimed.mark_sent().await {
-                Some(sent) => *self = Self::Sent(sent),
-                None => {
-                    let message = "the idempotency key could not be marked as sent";
-                    return Err(Denial::new(RefusalCode::ClaimUnavailable, message));
-                }
-            },
+            Self::Claimed(claimed) => {
+                *self = Self::Sent(claimed.mark_sent().await.map_err(not_marked)?);
+            }
             other => *self = other,
         }
         Ok(())
@@ -116,6 +112,19 @@
     }
 }
 
+fn not_marked(reason: NotMarked) -> Denial {
+    match reason {
+        NotMarked::TakenOver => {
+            let message = "another request with this idempotency key took over";
+            Denial::new(RefusalCode::ClaimInProgress, message)
+        }
+        NotMarked::Unsure => {
+            let message = "the idempotency key could not be marked as sent";
+            Denial::new(RefusalCode::ClaimUnavailable, message)
+        }
+    }
+}
+
 /// Returns the form in which a JSON answer is stored.
 pub fn stored_json(value: &Value) -> StoredAnswer {
     StoredAnswer {
--- /dev/null
+++ b/tests/entry_chat.rs
@@ -0,0 +1,247 @@
+//! Chat requests through one instance, in front of engines with faults.
+
+mod entry_support;
+
+use std::time::Duration;
+
+use entry_support::{
+    Instance, KEY, OTHER_KEY, backends, chat_body, expected_text, in_time, read_stream, refusal,
+    until,
+};
+use rstest::rstest;
+use serde_json::{Value, json};
+use standins::EngineFaults;
+
+fn cut() -> EngineFaults {
+    EngineFaults { cut_after: Some(4), ..EngineFaults::default() }
+}
+
+fn stopped() -> EngineFaults {
+    EngineFaults { stop_after: Some(4), ..EngineFaults::default() }
+}
+
+fn silent() -> EngineFaults {
+    EngineFaults { silent_after: Some(4), ..EngineFaults::default() }
+}
+
+fn crossed() -> EngineFaults {
+    EngineFaults { crossed: true, ..EngineFaults::default() }
+}
+
+fn nonsense() -> EngineFaults {
+    EngineFaults { nonsense: true, ..EngineFaults::default() }
+}
+
+#[tokio::test]
+async fn answers_are_whole_streamed_and_not() {
+    let backends = backends(2).await;
+    let instance = Instance::start("one", &backends).await;
+
+    let streamed = instance.chat(&chat_body("model", true)).send().await.unwrap();
+    let streamed = read_stream(streamed).await;
+    let whole = instance.chat(&chat_body("model", false)).send().await.unwrap();
+    let whole: Value = in_time(whole.json()).await.unwrap();
+
+    assert!(streamed.done && streamed.error.is_none());
+    assert_eq!(expected_text(), streamed.text);
+    assert_eq!(["length"], *streamed.finish_reasons);
+    assert_eq!(expected_text(), whole["choices"][0]["message"]["content"].as_str().unwrap());
+    assert_eq!(12, whole["usage"]["completion_tokens"]);
+}
+
+#[tokio::test]
+async fn requests_are_refused_before_anything_is_sent() {
+    let backends = backends(1).await;
+    let instance = Instance::start("one", &backends).await;
+    let body = chat_body("model", false);
+    let path = "/v1/chat/completions";
+    let post = || instance.post(path);
+    let cases = [
+        (post().json(&body), 401, "invalid_key"),
+        (post().bearer_auth("no-such-key").json(&body), 401, "invalid_key"),
+        (post().basic_auth(KEY, Some("")).json(&body), 401, "invalid_key"),
+        (post().bearer_auth(OTHER_KEY).json(&body), 403, "not_allowed"),
+        (post().bearer_auth(KEY).header("x-api-key", OTHER_KEY).json(&body), 400, "bad_request"),
+        (instance.chat(&body).header("x-request-class", "booking"), 403, "not_allowed"),
+        (instance.chat(&chat_body("no-such-model", false)), 404, "not_found"),
+        (instance.chat(&json!({ "messages": [] })), 400, "bad_request"),
+        (post().bearer_auth(KEY).body("{\"model\": "), 400, "bad_request"),
+        (instance.post("/slots/1").bearer_auth(OTHER_KEY), 403, "not_allowed"),
+        (instance.post("/slots/..%2Fbookings").bearer_auth(KEY), 400, "bad_request"),
+        (instance.post("/no-such-path").bearer_auth(KEY), 404, "not_found"),
+    ];
+
+    for (req, status, code) in cases {
+        let expected = (status, code.to_owned(), "not_run".to_owned());
+        assert_eq!(expected, refusal(req).await);
+    }
+
+    assert!(backends.engines[0].runs().is_empty());
+    assert!(backends.plain_requests().is_empty());
+}
+
+#[tokio::test]
+async fn no_backend_server_receives_the_key() {
+    let backends = backends(1).await;
+    let instance = Instance::start("one", &backends).await;
+    let with_key = |body: Value| {
+        instance
+            .post(&format!("/v1/chat/completions?api_key={KEY}"))
+            .bearer_auth(KEY)
+            .header("X-Api-Key", KEY)
+            .header("Cookie", format!("session={KEY}"))
+            .header("X-Anything", KEY)
+            .json(&body)
+    };
+    let mut body = chat_body("model", false);
+    body["user"] = KEY.into();
+    body["metadata"] = json!({ KEY: KEY });
+    let mut hidden = chat_body("model", false);
+    hidden["messages"][0]["content"] = format!("my key is {KEY}").into();
+    let slots = |query: &str| {
+        let req = instance.http.get(format!("{}/slots/1?day=2&{query}", instance.url));
+        req.bearer_auth(KEY).header("Cookie", KEY).header("X-Anything", KEY)
+    };
+
+    let dropped = in_time(with_key(body).send()).await.unwrap();
+    let refused = refusal(with_key(hidden)).await;
+    let filtered = in_time(slots(&format!("API%5Fkey={KEY}")).send()).await.unwrap();
+    let in_query = refusal(slots(&format!("q={}", KEY.replace('-', "%2D")))).await;
+    let in_body =
+        refusal(instance.booking("k").body(format!("{{\"a\":\"\\u006b{}\"}}", &KEY[1..]))).await;
+
+    assert_eq!((200, 200), (dropped.status().as_u16(), filtered.status().as_u16()));
+    for refused in [refused, in_query, in_body] {
+        assert_eq!((400, "bad_request".to_owned(), "not_run".to_owned()), refused);
+    }
+    let received = [backends.engines[0].received(), backends.plain_requests()].concat();
+    assert_eq!(2, received.len());
+    assert!(!format!("{received:?}").contains(KEY));
+}
+
+/// An answer that can't be trusted never ends as a whole one; work that may not be repeated is
+/// sent once.
+#[rstest]
+#[case::cut(cut(), "backend_failed")]
+#[case::stopped(stopped(), "backend_failed")]
+#[case::silent(silent(), "backend_timeout")]
+#[case::crossed(crossed(), "backend_failed")]
+#[case::nonsense(nonsense(), "backend_failed")]
+#[tokio::test]
+async fn a_bad_answer_never_looks_whole(#[case] faults: EngineFaults, #[case] code: &str) {
+    let backends = backends(1).await;
+    let instance = Instance::start("one", &backends).await;
+    backends.engines[0].set_faults(faults);
+
+    let streamed = in_time(instance.chat(&chat_body("once-model", true)).send()).await.unwrap();
+    let refused_at_once = streamed.status() != 200;
+    let error = if refused_at_once {
+        in_time(streamed.json::<Value>()).await.unwrap()["error"].clone()
+    } else {
+        let streamed = read_stream(streamed).await;
+        assert!(!streamed.done);
+        streamed.error.expect("the stream ends with an error event")
+    };
+    let (_, whole_code, whole_ran) = refusal(instance.chat(&chat_body("once-model", false))).await;
+
+    assert_eq!(code, error["code"]);
+    assert_eq!(code, whole_code);
+    assert!(error["ran"] != "not_run" && whole_ran != "not_run");
+    assert_eq!(2, backends.engines[0].received().len());
+}
+
+/// A broken answer to repeatable work goes on elsewhere, without a gap or a repeat.
+#[rstest]
+#[case::cut(cut())]
+#[case::stopped(stopped())]
+#[case::silent(silent())]
+#[case::crossed(crossed())]
+#[case::nonsense(nonsense())]
+#[case::overloaded(EngineFaults { unavailable: true, ..EngineFaults::default() })]
+#[case::reset(EngineFaults { reset_before: true, ..EngineFaults::default() })]
+#[tokio::test]
+async fn a_broken_answer_goes_on_elsewhere(
+    #[case] faults: EngineFaults,
+    #[values(true, false)] streamed: bool,
+) {
+    let backends = backends(2).await;
+    let instance = Instance::start("one", &backends).await;
+    // Whichever engine is picked first fails, and fails every time.
+    let first = instance.chat(&chat_body("model", false)).send().await.unwrap();
+    assert_eq!(200, first.status());
+    let picked = backends.engines.iter().position(|engine| !engine.runs().is_empty()).unwrap();
+    backends.engines[picked].set_faults(faults);
+
+    let rsp = in_time(instance.chat(&chat_body("model", streamed)).send()).await.unwrap();
+
+    assert_eq!(200, rsp.status());
+    if streamed {
+        let streamed = read_stream(rsp).await;
+        assert!(streamed.done, "{:?}", streamed.error);
+        assert_eq!(expected_text(), streamed.text);
+        assert_eq!(1, streamed.ids.len());
+    } else {
+        let whole: Value = in_time(rsp.json()).await.unwrap();
+        assert_eq!(expected_text(), whole["choices"][0]["message"]["content"].as_str().unwrap());
+        assert_eq!(12, whole["usage"]["completion_tokens"]);
+    }
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_ends_its_streams_and_connections() {
+    let backends = backends(1).await;
+    let instance = Instance::start("one", &backends).await;
+    let slow = EngineFaults { slow: 100, ..EngineFaults::default() };
+    backends.engines[0].set_faults(slow);
+    let stream = in_time(instance.chat(&chat_body("model", true)).send()).await.unwrap();
+
+    instance.withdraw(KEY);
+    let streamed = read_stream(stream).await;
+    let later = refusal(instance.chat(&chat_body("model", false))).await;
+    let plain = refusal(instance.booking("k")).await;
+
+    assert!(!streamed.done);
+    assert_eq!("key_withdrawn", streamed.error.unwrap()["code"]);
+    for refused in [later, plain] {
+        assert_eq!((401, "invalid_key".to_owned(), "not_run".to_owned()), refused);
+    }
+    until(|| backends.engines[0].load().running == 0).await;
+    assert_eq!(1, backends.engines[0].received().len());
+}
+
+/// The instance is its own home here, so that its queue takes no new work while it drains.
+#[tokio::test]
+async fn a_drain_cuts_no_request() {
+    let backends = backends(1).await;
+    let instance = Instance::start("one", &backends).await;
+    backends.engines[0].set_faults(EngineFaults { slow: 100, ..EngineFaults::default() });
+    let stream = in_time(instance.chat(&chat_body("model", true)).send()).await.unwrap();
+
+    instance.views.draining.send_replace(true);
+    let models = instance.http.get(format!("{}/v1/models", instance.url)).bearer_auth(KEY);
+    let during = in_time(models.send()).await.unwrap();
+    let streamed = read_stream(stream).await;
+    let ended = in_time(instance.serving).await.unwrap();
+
+    assert!(ended.is_ok());
+    assert_eq!(
+        (200, "close"),
+        (during.status().as_u16(), during.headers()["connection"].to_str().unwrap())
+    );
+    assert!(streamed.done, "{:?}", streamed.error);
+    assert_eq!(expected_text(), streamed.text);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_frees_its_slot() {
+    let backends = backends(1).await;
+    let instance = Instance::start("one", &backends).await;
+    backends.engines[0].set_faults(EngineFaults { slow: 1_000, ..EngineFaults::default() });
+    let req = instance.chat(&chat_body("model", false)).timeout(Duration::from_millis(300));
+
+    let left = req.send().await;
+
+    assert!(left.is_err());
+    until(|| backends.engines[0].runs().len() == 1 && backends.engines[0].load().running == 0)
+        .await;
+}
--- /dev/null
+++ b/tests/entry_once.rs
@@ -0,0 +1,177 @@
+//! Work that must run at most once, through instances that share the object API.
+
+mod entry_support;
+
+use entry_support::{Backends, Instance, backends, chat_body, in_time, read_stream, refusal};
+use rstest::rstest;
+use serde_json::Value;
+use standins::platform::{LostAnswer, Outage};
+use standins::{PlainFaults, PlatformFaults};
+
+/// Address that nothing listens on.
+const CLOSED: &str = "http://127.0.0.1:9";
+
+fn runs(backends: &Backends, key: &str) -> usize {
+    backends.plain.runs_by_idempotency_key().get(key).copied().unwrap_or_default()
+}
+
+fn outcome(status: u16, code: &str, ran: &str) -> (u16, String, String) {
+    (status, code.to_owned(), ran.to_owned())
+}
+
+#[tokio::test]
+async fn a_repeat_gets_the_stored_answer_also_at_another_instance() {
+    let backends = backends(1).await;
+    let one = Instance::start("one", &backends).await;
+    let two = Instance::start("two", &backends).await;
+
+    let first = in_time(one.booking("sofa").send()).await.unwrap();
+    let first: Value = in_time(first.json()).await.unwrap();
+    let again = in_time(two.booking("sofa").send()).await.unwrap();
+    let replayed = again.headers().get("idempotent-replayed").cloned();
+    let again: Value = in_time(again.json()).await.unwrap();
+    let other = refusal(two.booking("sofa").body("two sofas")).await;
+
+    assert_eq!(first, again);
+    assert_eq!("true", replayed.unwrap());
+    assert_eq!(outcome(422, "claim_mismatch", "not_run"), other);
+    assert_eq!(1, runs(&backends, "sofa"));
+}
+
+#[tokio::test]
+async fn the_same_key_at_two_instances_at_once_runs_once() {
+    let backends = backends(1).await;
+    let one = Instance::start("one", &backends).await;
+    let two = Instance::start("two", &backends).await;
+    backends.plain.set_faults(PlainFaults { slow_ms: 200, ..PlainFaults::default() });
+
+    for round in 0..5 {
+        let key = format!("sofa-{round}");
+        let (left, right) =
+            in_time(async { tokio::join!(one.booking(&key).send(), two.booking(&key).send()) })
+                .await;
+
+        let mut statuses = [left.unwrap().status().as_u16(), right.unwrap().status().as_u16()];
+        statuses.sort_unstable();
+        assert!([[200, 200], [200, 409]].contains(&statuses), "{statuses:?}");
+        assert_eq!(1, runs(&backends, &key));
+    }
+}
+
+/// After a lost answer nobody can tell whether the booking ran, and no repeat runs it again.
+#[rstest]
+#[case::reset_after(PlainFaults { reset_after: true, ..PlainFaults::default() }, 502, "backend_failed")]
+#[case::reset_before(PlainFaults { reset_before: true, ..PlainFaults::default() }, 502, "backend_failed")]
+#[case::silent_after(PlainFaults { silent_after: true, ..PlainFaults::default() }, 504, "backend_timeout")]
+#[tokio::test]
+async fn a_lost_answer_is_never_run_again(
+    #[case] faults: PlainFaults,
+    #[case] status: u16,
+    #[case] code: &str,
+) {
+    let backends = backends(1).await;
+    let one = Instance::start("one", &backends).await;
+    let two = Instance::start("two", &backends).await;
+    backends.plain.set_faults(faults);
+
+    let first = refusal(one.booking("sofa")).await;
+    let without_key = refusal(one.post("/bookings/today").bearer_auth(entry_support::KEY)).await;
+    backends.plain.set_faults(PlainFaults::default());
+    let again = refusal(one.booking("sofa")).await;
+    let elsewhere = refusal(two.booking("sofa")).await;
+
+    assert_eq!(outcome(status, code, "unknown"), first);
+    assert_eq!(outcome(status, code, "unknown"), without_key);
+    assert_eq!(outcome(409, "claim_unresolved", "unknown"), again);
+    assert_eq!(outcome(409, "claim_unresolved", "unknown"), elsewhere);
+    // One of each: with the idempotency key and without.
+    assert_eq!(2, backends.plain_requests().len());
+}
+
+#[rstest]
+#[case(Outage::Unavailable)]
+#[case(Outage::Reset)]
+#[tokio::test]
+async fn without_the_object_api_nothing_runs_that_must_run_once(#[case] outage: Outage) {
+    let backends = backends(1).await;
+    let one = Instance::start("one", &backends).await;
+    let down = PlatformFaults { outage: Some(outage), ..PlatformFaults::default() };
+    backends.platform.set_faults(down);
+
+    let refused = refusal(one.booking("sofa")).await;
+    let chat = in_time(one.chat(&chat_body("model", true)).send()).await.unwrap();
+    let chat = read_stream(chat).await;
+    let runs_while_down = backends.plain_requests().len();
+    backends.platform.set_faults(PlatformFaults::default());
+    let later = in_time(one.booking("sofa").send()).await.unwrap();
+
+    assert_eq!(outcome(503, "claim_unavailable", "not_run"), refused);
+    assert!(chat.done, "other work goes on");
+    assert_eq!(0, runs_while_down);
+    assert_eq!(200, later.status());
+    assert_eq!(1, runs(&backends, "sofa"));
+}
+
+/// The answers to the claim's own writes are lost after they took effect.
+#[rstest]
+#[case("create claims")]
+#[case("update claims")]
+#[tokio::test]
+async fn a_lost_answer_of_the_object_api_doubles_nothing(#[case] matching: &str) {
+    let backends = backends(1).await;
+    let one = Instance::start("one", &backends).await;
+    let lost = LostAnswer { matching: matching.to_owned(), count: 1, hang: false };
+    let faults = PlatformFaults { lost_answers: vec![lost], ..PlatformFaults::default() };
+    backends.platform.set_faults(faults);
+
+    let first = in_time(one.booking("sofa").send()).await.unwrap();
+    let again = in_time(one.booking("sofa").send()).await.unwrap();
+
+    assert_eq!((200, 200), (first.status().as_u16(), again.status().as_u16()));
+    assert_eq!(1, runs(&backends, "sofa"));
+}
+
+#[tokio::test]
+async fn a_refused_connection_is_not_run_and_frees_the_key() {
+    let backends = backends(1).await;
+    let one = Instance::start("one", &backends).await;
+    let two = Instance::start("two", &backends).await;
+    one.move_plain(CLOSED);
+
+    let refused = refusal(one.booking("sofa")).await;
+    one.move_plain(&backends.plain.url());
+    let later = in_time(two.booking("sofa").send()).await.unwrap();
+
+    assert_eq!(outcome(503, "no_backend_server", "not_run"), refused);
+    assert_eq!(200, later.status());
+    assert_eq!(1, runs(&backends, "sofa"));
+}
+
+#[rstest]
+#[case(307)]
+#[case(308)]
+#[tokio::test]
+async fn a_redirect_is_not_followed(#[case] status: u16) {
+    let backends = backends(1).await;
+    let one = Instance::start("one", &backends).await;
+    backends.plain.set_faults(PlainFaults { redirect: Some(status), ..PlainFaults::default() });
+
+    let rsp = in_time(one.booking("sofa").send()).await.unwrap();
+
+    assert_eq!(status, rsp.status().as_u16());
+    assert_eq!(1, backends.plain_requests().len());
+}
+
+#[tokio::test]
+async fn a_repeated_stream_is_replayed_whole() {
+    let backends = backends(1).await;
+    let one = Instance::start("one", &backends).await;
+    let req = || one.chat(&chat_body("once-model", true)).header("idempotency-key", "cues");
+
+    let first = read_stream(in_time(req().send()).await.unwrap()).await;
+    let again = read_stream(in_time(req().send()).await.unwrap()).await;
+
+    assert!(first.done && again.done);
+    assert_eq!(first.text, again.text);
+    assert_eq!(1, backends.engines[0].received().len());
+}
