Keep leaving servers managed until they are stopped

Cause: a server marked as leaving counted as taken out by an operator, so that it was never stopped; and a missing load report counted as no work. Found by reading; the planner's task has no test of its own yet.

--- a/src/orders/planner.rs
+++ b/src/orders/planner.rs
@@ -90,7 +90,7 @@
         let Some(running) = self.sender.running(&self.data_centre).await else { return };
         let Some(stopped) = self.sender.stopped_by_order().await else { return };
         let in_force = self.cx.in_force.borrow().clone();
-        let config = manageable(&in_force, &stopped);
+        let config = manageable(&in_force, &stopped, &self.leaving);
         let wanted = self.wanted(&config, &stopped);
         let data_centre = self.data_centre.clone();
         let own =
@@ -99,6 +99,9 @@
             match (running.contains(&server.name), wanted.contains(&server.name)) {
                 (false, true) => self.begin(server).await,
                 (true, false) => self.retire(server).await,
+                (true, true) if self.leaving.remove(&server.name).is_some() => {
+                    self.mark(server, true).await;
+                }
                 _ => {}
             }
         }
@@ -114,7 +117,7 @@
         let serving: BTreeSet<BackendServerName> = config
             .backend_servers
             .keys()
-            .filter(|name| !stopped.contains(*name))
+            .filter(|name| !stopped.contains(*name) && !self.leaving.contains_key(*name))
             .cloned()
             .collect();
         pools(config).iter().flat_map(|pool| self.planner.wanted(pool, &loads, &serving)).collect()
@@ -136,7 +139,9 @@
             return;
         };
         let elapsed = since.elapsed();
-        let idle = self.cx.loads.borrow().get(&server.name).is_none_or(|load| load.running == 0);
+        // Without a report the server may still have work.
+        let load = self.cx.loads.borrow().get(&server.name).cloned();
+        let idle = load.is_some_and(|load| load.running == 0 && load.waiting == 0);
         if elapsed < LEAVE_SETTLE || (!idle && elapsed < LEAVE_BOUND) {
             return;
         }
@@ -155,13 +160,19 @@
 
 /// Returns the configuration without what operators took out of service.
 ///
-/// A server that an order stopped is out of service too, and may be started again.
-fn manageable(in_force: &InForce, stopped: &BTreeSet<BackendServerName>) -> Config {
+/// Servers that orders stopped, or that this instance marked as leaving, are out of service too
+/// but stay managed.
+fn manageable(
+    in_force: &InForce,
+    stopped: &BTreeSet<BackendServerName>,
+    leaving: &BTreeMap<BackendServerName, Instant>,
+) -> Config {
     let mut config = in_force.effective();
     let centres = config.data_centres.clone();
     config.backend_servers.retain(|name, server| {
         let centre_in = centres.get(&server.data_centre).is_some_and(|centre| centre.in_service);
-        centre_in && (server.in_service || stopped.contains(name))
+        let ours = stopped.contains(name) || leaving.contains_key(name);
+        centre_in && (server.in_service || ours)
     });
     config
 }
