--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -76,6 +76,16 @@
         self.host.relay()
     }
 
+    /// Returns the requests that it runs at once.
+    pub fn slots(&self) -> usize {
+        self.shared.settings.slots
+    }
+
+    /// Returns the requests that it bears while cold.
+    pub fn cold_limit(&self) -> usize {
+        self.shared.settings.cold_limit
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: EngineFaults) {
         *lock(&self.shared.faults) = faults;
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -200,6 +200,7 @@
         "method": received.method,
         "target": received.target,
         "request_id": received.header("x-request-id"),
+        "idempotency_key": received.header("idempotency-key"),
         "body": received.body,
     })
 }
--- a/tests/common/caller.rs
+++ b/tests/common/caller.rs
@@ -54,14 +54,18 @@
         self.status == 200 && self.done && self.error.is_null() && !self.broken
     }
 
+    /// Returns whether the answer is whole, and the one to these messages.
+    pub fn is_whole(&self, messages: &Value, count: u64) -> bool {
+        self.looks_whole()
+            && self.text == tokens::answer(messages, count)
+            && self.finish_reason.is_some()
+            && self.usage["completion_tokens"] == count
+            && self.ids.iter().all(|id| id.ends_with(&self.request_id))
+    }
+
     /// Checks that the answer is whole, and the one to these messages.
     pub fn assert_whole(&self, messages: &Value, count: u64) {
-        assert!(self.looks_whole(), "not whole: {self:?}");
-        assert_eq!(self.text, tokens::answer(messages, count), "wrong text: {self:?}");
-        assert!(self.finish_reason.is_some(), "no finish mark: {self:?}");
-        assert_eq!(self.usage["completion_tokens"], count, "wrong usage: {self:?}");
-        let own = |id: &String| id.ends_with(&self.request_id);
-        assert!(self.ids.iter().all(own), "another request's answer: {self:?}");
+        assert!(self.is_whole(messages, count), "not the whole answer: {self:?}");
     }
 
     /// Checks that the answer is whole, or an error that a caller can't take for a whole one.
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -1,8 +1,9 @@
 //! Instances, stand-ins and a sheet that fits them.
 
 use std::collections::BTreeMap;
-use std::io::Write;
 
+use reqwest::Method;
+use serde_json::{Value, json};
 use standins::platform::{ListedInstance, View};
 use standins::{
     Direction, Engine, EngineSettings, Plain, PlainSettings, Platform, PlatformSettings, Relay,
@@ -10,31 +11,51 @@
 
 use super::{Caller, Instance, Sheet};
 
+/// A backend server to be placed in a fleet.
+#[derive(Debug, Clone)]
+pub struct Placement {
+    pub name: String,
+    pub data_centre: String,
+    /// Routes that it serves, separated by spaces.
+    pub routes: String,
+}
+
+/// Requests that a plain service runs at once.
+const PLAIN_SLOTS: usize = 16;
+
 /// What a fleet is made of.
 pub struct FleetSettings {
     /// Names of instances with their data centres.
-    pub instances: Vec<(&'static str, &'static str)>,
-    /// Names of engines with their data centres and settings; they serve the route `timing`.
-    pub engines: Vec<(&'static str, &'static str, EngineSettings)>,
-    /// Names of plain services with their data centres; they serve `booking` and `lookup`.
-    pub plains: Vec<(&'static str, &'static str)>,
+    pub instances: Vec<(String, String)>,
+    /// Engines.
+    pub engines: Vec<(Placement, EngineSettings)>,
+    /// Plain services.
+    pub plains: Vec<Placement>,
+    /// The sheet without the backend servers.
+    pub sheet: Sheet,
     /// Settings of `serve` for all instances.
     pub flags: Vec<(&'static str, &'static str)>,
     /// Settings of the platform.
     pub platform: PlatformSettings,
 }
 
+/// Returns a placement.
+pub fn place(name: &str, data_centre: &str, routes: &str) -> Placement {
+    let [name, data_centre, routes] = [name, data_centre, routes].map(str::to_owned);
+    Placement { name, data_centre, routes }
+}
+
 impl Default for FleetSettings {
     fn default() -> Self {
-        let engine = EngineSettings::default;
+        let instances = [("i1", "kolkata-a"), ("i2", "kolkata-a"), ("i3", "kolkata-b")];
+        let engines = [("e1", "kolkata-a"), ("e2", "kolkata-a"), ("e3", "kolkata-b")];
+        let engine =
+            |(name, data_centre)| (place(name, data_centre, "timing"), EngineSettings::default());
         Self {
-            instances: vec![("i1", "kolkata-a"), ("i2", "kolkata-a"), ("i3", "kolkata-b")],
-            engines: vec![
-                ("e1", "kolkata-a", engine()),
-                ("e2", "kolkata-a", engine()),
-                ("e3", "kolkata-b", engine()),
-            ],
-            plains: vec![("p1", "kolkata-a")],
+            instances: instances.map(|(name, centre)| (name.into(), centre.into())).into(),
+            engines: engines.map(engine).into(),
+            plains: vec![place("p1", "kolkata-a", "booking lookup")],
+            sheet: base_sheet(),
             flags: Vec::new(),
             platform: PlatformSettings::default(),
         }
@@ -79,24 +100,25 @@
         let platform = Platform::start(settings.platform).await.expect("no platform");
         let mut engines = BTreeMap::new();
         let mut plains = BTreeMap::new();
-        let mut sheet = base_sheet();
-        for (name, data_centre, engine) in settings.engines {
+        let mut sheet = settings.sheet;
+        for (place, engine) in settings.engines {
             let engine = Engine::start(engine).await.expect("no engine");
-            sheet = sheet.backend_server(name, data_centre, &engine.url(), "timing");
-            engines.insert(name.to_owned(), engine);
+            sheet =
+                sheet.backend_server(&place, &engine.url(), engine.slots(), engine.cold_limit());
+            engines.insert(place.name, engine);
         }
-        for (name, data_centre) in settings.plains {
+        for place in settings.plains {
             let plain = Plain::start(PlainSettings::default()).await.expect("no plain service");
-            sheet = sheet.backend_server(name, data_centre, &plain.url(), "booking lookup");
-            plains.insert(name.to_owned(), plain);
+            sheet = sheet.backend_server(&place, &plain.url(), PLAIN_SLOTS, PLAIN_SLOTS);
+            plains.insert(place.name, plain);
         }
         let mut views = BTreeMap::new();
         let mut instances = BTreeMap::new();
         for (name, data_centre) in settings.instances {
             let view = platform.view().await.expect("no view of the platform");
-            let instance = Instance::start(name, data_centre, &view.url(), &settings.flags);
-            views.insert(name.to_owned(), view);
-            instances.insert(name.to_owned(), instance);
+            let instance = Instance::start(&name, &data_centre, &view.url(), &settings.flags);
+            views.insert(name.clone(), view);
+            instances.insert(name, instance);
         }
         let ways = BTreeMap::new();
         let mut fleet = Self { platform, engines, plains, instances, sheet, views, ways };
@@ -136,23 +158,21 @@
     }
 
     /// Applies a sheet at an instance.
-    pub async fn apply(&self, at: &str, sheet: &Sheet) -> Result<serde_json::Value, String> {
-        let mut file = tempfile::NamedTempFile::new().expect("no temporary file");
-        file.write_all(sheet.text().as_bytes()).expect("the sheet can't be written");
-        let path = file.path().to_str().expect("a temporary path is UTF-8");
-        self.instances[at].operate(&["sheet", "apply", path]).await
+    pub async fn apply(&self, at: &str, sheet: &Sheet) -> Result<Value, String> {
+        self.instances[at].operate(Method::POST, "/sheet/apply", sheet.text()).await
     }
 
     /// Issues a key at an instance and waits until all instances accept it.
     pub async fn issue(&self, at: &str, organisation: &str) -> IssuedKey {
-        let issued = self.instances[at].operate(&["key", "issue", organisation]).await;
+        let body = json!({ "organisation": organisation }).to_string();
+        let issued = self.instances[at].operate(Method::POST, "/keys", &body).await;
         let issued = issued.expect("no key is issued");
         let text = |field: &str| issued[field].as_str().expect("a key has its fields").to_owned();
         let key = IssuedKey { id: text("id"), key: text("key") };
         for instance in self.instances.values() {
             let caller = Caller::new(instance.caller, &key.key);
             super::eventually("an instance accepts the key", || async {
-                let req = caller.request(reqwest::Method::GET, "/v1/models");
+                let req = caller.request(Method::GET, "/v1/models");
                 super::caller::read(req).await.status == 200
             })
             .await;
@@ -196,6 +216,18 @@
         engines.chain(plains).flatten().collect()
     }
 
+    /// Returns the number of runs by idempotency key, over all backend servers.
+    pub fn runs_by_idempotency_key(&self) -> BTreeMap<String, usize> {
+        let engines = self.engines.values().map(Engine::runs_by_idempotency_key);
+        sum(engines.chain(self.plains.values().map(Plain::runs_by_idempotency_key)))
+    }
+
+    /// Returns the number of runs by request identifier, over all backend servers.
+    pub fn runs_by_request(&self) -> BTreeMap<String, usize> {
+        let engines = self.engines.values().map(Engine::runs_by_request);
+        sum(engines.chain(self.plains.values().map(Plain::runs_by_request)))
+    }
+
     /// Returns the number of engine runs of a request.
     pub fn engine_runs(&self, request: &str) -> usize {
         let runs = self.engines.values().flat_map(Engine::runs);
@@ -209,7 +241,7 @@
 }
 
 /// Returns the sheet of all fleets, without backend servers.
-fn base_sheet() -> Sheet {
+pub fn base_sheet() -> Sheet {
     Sheet::default()
         .class("interactive", "1", "20", true)
         .class("batch", "3", "10", true)
@@ -222,3 +254,12 @@
         .data_centre("kolkata-a", "bengal-east")
         .data_centre("kolkata-b", "bengal-east")
 }
+
+/// Adds counts up.
+fn sum(all: impl Iterator<Item = BTreeMap<String, usize>>) -> BTreeMap<String, usize> {
+    let mut total = BTreeMap::new();
+    for (name, count) in all.flatten() {
+        *total.entry(name).or_default() += count;
+    }
+    total
+}
--- a/tests/common/instance.rs
+++ b/tests/common/instance.rs
@@ -4,8 +4,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::Stdio;
 
+use reqwest::{Client, Method};
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::Value;
+use serde_json::{Value, json};
 use tempfile::NamedTempFile;
 use tokio::process::{Child, Command};
 
@@ -101,23 +102,39 @@
 
     /// Returns what the administration API says about the instance.
     pub async fn status(&self) -> Value {
-        self.operate(&["status"]).await.expect("the instance says no status")
-    }
-
-    /// Runs an operator command against this instance; returns its JSON or its error text.
-    pub async fn operate(&self, words: &[&str]) -> Result<Value, String> {
-        let admin = format!("http://{}", self.admin);
-        let output = Command::new(BINARY)
-            .args(words)
-            .args(["--json", "--admin", &admin, "--admin-secret", ADMIN_SECRET])
-            .kill_on_drop(true)
-            .output();
-        let output = tokio::time::timeout(STEP_BOUND, output).await;
-        let output = output.map_err(|_| "the command goes on".to_owned())?.expect("no command");
-        if !output.status.success() {
-            return Err(String::from_utf8_lossy(&output.stderr).into_owned());
-        }
-        serde_json::from_slice(&output.stdout).map_err(|error| error.to_string())
+        self.operate(Method::GET, "/status", "").await.expect("the instance says no status")
+    }
+
+    /// Calls the administration API; returns its JSON or its error text.
+    pub async fn operate(&self, method: Method, path: &str, body: &str) -> Result<Value, String> {
+        let url = format!("http://{}{path}", self.admin);
+        let client = Client::builder().no_proxy().build().expect("no HTTP client");
+        let req = client.request(method, url).bearer_auth(ADMIN_SECRET).body(body.to_owned());
+        let req = req.header("content-type", "application/json").timeout(STEP_BOUND);
+        let rsp = req.send().await.map_err(|error| error.to_string())?;
+        let success = rsp.status().is_success();
+        let text = rsp.text().await.map_err(|error| error.to_string())?;
+        if success { serde_json::from_str(&text).map_err(|e| e.to_string()) } else { Err(text) }
+    }
+
+    /// Withdraws a key; returns whether the withdrawal is durable.
+    pub async fn withdraw(&self, id: &str) -> bool {
+        let answer = self.operate(Method::DELETE, &format!("/keys/{id}"), "").await;
+        answer.expect("the withdrawal is refused")["durable"] == true
+    }
+
+    /// Takes a data centre out of service, or in again.
+    pub async fn set_data_centre(&self, name: &str, in_service: bool) {
+        let body = json!({ "in_service": in_service }).to_string();
+        let path = format!("/data-centres/{name}/service");
+        self.operate(Method::PUT, &path, &body).await.expect("the order is refused");
+    }
+
+    /// Takes a backend server out of service, or in again.
+    pub async fn set_backend_server(&self, name: &str, in_service: bool) {
+        let body = json!({ "in_service": in_service }).to_string();
+        let path = format!("/backend-servers/{name}/service");
+        self.operate(Method::PUT, &path, &body).await.expect("the order is refused");
     }
 
     /// Returns the log lines so far.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod fleet;
 pub mod instance;
+pub mod scenario;
 pub mod sheet;
 
 use std::time::Duration;
--- a/tests/common/sheet.rs
+++ b/tests/common/sheet.rs
@@ -2,6 +2,8 @@
 
 use std::fmt::Write;
 
+use super::fleet::Placement;
+
 /// Columns that the tests use.
 const COLUMNS: [&str; 25] = [
     "table",
@@ -93,23 +95,23 @@
     /// Adds a backend server.
     pub fn backend_server(
         self,
-        name: &str,
-        data_centre: &str,
+        place: &Placement,
         address: &str,
-        routes: &str,
+        slots: usize,
+        cold_limit: usize,
     ) -> Self {
         let cells = [
-            ("data-centre", data_centre),
+            ("data-centre", place.data_centre.as_str()),
             ("address", address),
-            ("routes", routes),
+            ("routes", &place.routes),
             ("kind", "standard"),
             ("price", "1"),
-            ("slots", "8"),
-            ("cold-limit", "2"),
+            ("slots", &slots.to_string()),
+            ("cold-limit", &cold_limit.min(slots).to_string()),
             ("checks-fencing", "yes"),
             ("in-service", "yes"),
         ];
-        self.row("backend-server", name, &cells)
+        self.row("backend-server", &place.name, &cells)
     }
 
     /// Returns the text of the sheet.
--- /dev/null
+++ b/tests/failures_service.rs
@@ -0,0 +1,199 @@
+//! Data centres and backend servers that leave, graceful shutdown, and the configuration in force.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use common::caller::{Answer, BETWEEN_REQUESTS, user};
+use common::{Caller, Fleet, FleetSettings, IN_FORCE_BOUND, STEP_BOUND};
+use futures::future::join_all;
+use serde_json::Value;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Time within which a configuration is in force after the first watcher died.
+const AFTER_KILL_BOUND: Duration = Duration::from_secs(6);
+/// How long traffic goes on after a change must be in force.
+const OBSERVED: Duration = Duration::from_secs(1);
+/// Tokens of a long answer, about two seconds.
+const LONG: u64 = 400;
+
+/// Sends requests one after the other at each instance until told to stop.
+fn keep_asking(callers: Vec<Caller>) -> (watch::Sender<bool>, JoinHandle<Vec<Answer>>) {
+    let (stop, rx) = watch::channel(false);
+    let loops = callers.into_iter().map(move |caller| {
+        let rx = rx.clone();
+        async move {
+            let messages = user("again");
+            let mut answers = Vec::new();
+            while !*rx.borrow() {
+                answers.push(caller.stream(&messages, 4).await);
+                tokio::time::sleep(BETWEEN_REQUESTS).await;
+            }
+            answers
+        }
+    });
+    let asking = join_all(loops);
+    (stop, tokio::spawn(async move { asking.await.into_iter().flatten().collect() }))
+}
+
+fn received(fleet: &Fleet) -> BTreeMap<String, usize> {
+    fleet.engines.iter().map(|(name, engine)| (name.clone(), engine.received().len())).collect()
+}
+
+/// Runs a change under traffic; returns what each engine received after it must be in force.
+async fn received_after(
+    fleet: &Fleet,
+    change: impl Future<Output = ()>,
+) -> BTreeMap<String, usize> {
+    let key = fleet.issue("i1", "shobdo").await;
+    let callers = fleet.instances.keys().map(|at| fleet.caller(at, &key)).collect();
+    let (stop, asking) = keep_asking(callers);
+    tokio::time::sleep(OBSERVED).await;
+    let used = received(fleet);
+    assert!(used.values().all(|count| *count > 0), "an engine got no work before: {used:?}");
+
+    change.await;
+    tokio::time::sleep(IN_FORCE_BOUND).await;
+    let before = received(fleet);
+    tokio::time::sleep(OBSERVED).await;
+    let after = received(fleet);
+
+    stop.send_replace(true);
+    let answers = asking.await.expect("the traffic failed");
+    let messages = user("again");
+    answers.iter().for_each(|answer| answer.assert_whole(&messages, 4));
+    after.into_iter().map(|(name, count)| (name.clone(), count - before[&name])).collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_taken_out_gets_no_new_work() {
+    let fleet = Fleet::start(FleetSettings::default()).await;
+
+    let received =
+        received_after(&fleet, fleet.instances["i2"].set_data_centre("kolkata-a", false));
+    let received = received.await;
+
+    assert_eq!((received["e1"], received["e2"]), (0, 0));
+    assert!(received["e3"] > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_taken_out_in_an_outage_gets_no_new_work() {
+    let fleet = Fleet::start(FleetSettings::default()).await;
+    let outage = async {
+        fleet.platform.change_faults(|faults| {
+            faults.outage = Some(standins::platform::Outage::Unavailable);
+        });
+        fleet.instances["i2"].set_data_centre("kolkata-a", false).await;
+    };
+
+    let received = received_after(&fleet, outage).await;
+
+    assert_eq!((received["e1"], received["e2"]), (0, 0));
+    assert!(received["e3"] > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_backend_server_gets_no_new_work() {
+    let fleet = Fleet::start(FleetSettings::default()).await;
+
+    let received = received_after(&fleet, fleet.instances["i3"].set_backend_server("e1", false));
+    let received = received.await;
+
+    assert_eq!(received["e1"], 0);
+    assert!(received["e2"] + received["e3"] > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_shutdown_cuts_no_request() {
+    let mut fleet = Fleet::start(FleetSettings::default()).await;
+    let key = fleet.issue("i1", "shobdo").await;
+    let callers = ["i1", "i2", "i3", "i2"].map(|at| fleet.caller(at, &key));
+    let long =
+        callers.map(|caller| tokio::spawn(async move { caller.stream(&user("long"), LONG).await }));
+    common::eventually("all streams run", || async {
+        fleet.engines.values().flat_map(|engine| engine.runs()).filter(|run| run.tokens > 0).count()
+            == long.len()
+    })
+    .await;
+    let others = ["i1", "i3"].map(|at| fleet.caller(at, &key)).to_vec();
+    let (stop, asking) = keep_asking(others);
+
+    let leaving = fleet.instances.get_mut("i2").unwrap();
+    leaving.stop();
+    let ended_well = leaving.ended().await;
+    stop.send_replace(true);
+
+    assert!(ended_well);
+    for answer in join_all(long).await {
+        answer.unwrap().assert_whole(&user("long"), LONG);
+    }
+    let messages = user("again");
+    let meanwhile = asking.await.unwrap();
+    meanwhile.iter().for_each(|answer| answer.assert_whole(&messages, 4));
+}
+
+fn version(status: &Value) -> u64 {
+    status["config_version"].as_u64().expect("a status has a version")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_is_in_force_everywhere_though_its_first_holder_dies() {
+    let mut fleet = Fleet::start(FleetSettings::default()).await;
+    let sheet = fleet.sheet.clone().organisation("newcomer", "timing");
+
+    let accepted = fleet.apply("i1", &sheet).await.expect("the sheet is refused");
+    fleet.instances.get_mut("i1").unwrap().kill().await;
+    tokio::time::sleep(AFTER_KILL_BOUND).await;
+    let accepted = accepted["version"].as_u64().expect("an accepted sheet has a version");
+    let others = [fleet.instances["i2"].status().await, fleet.instances["i3"].status().await];
+    fleet.instances.get_mut("i1").unwrap().restart();
+    fleet.instances["i1"].wait_ready().await;
+    let restarted = fleet.instances["i1"].status().await;
+
+    assert_eq!(others.each_ref().map(version), [accepted, accepted]);
+    assert_eq!(version(&restarted), accepted);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_never_goes_back_on_any_instance() {
+    let fleet = Fleet::start(FleetSettings::default()).await;
+    let (stop, rx) = watch::channel(false);
+    let seen = fleet.instances.values().map(|instance| {
+        let rx = rx.clone();
+        async move {
+            let mut seen = Vec::new();
+            while !*rx.borrow() {
+                seen.push(version(&instance.status().await));
+                tokio::time::sleep(BETWEEN_REQUESTS).await;
+            }
+            seen
+        }
+    });
+    let changes = async {
+        let mut versions = Vec::new();
+        for (number, at) in ["i1", "i2", "i3", "i1"].into_iter().enumerate() {
+            let sheet = fleet.sheet.clone().organisation(&format!("new-{number}"), "timing");
+            let lost = standins::platform::LostAnswer {
+                matching: "update configs".to_owned(),
+                count: 1,
+                hang: false,
+            };
+            fleet.platform.change_faults(|faults| faults.lost_answers = vec![lost]);
+            versions.push(fleet.apply(at, &sheet).await.expect("the sheet is refused"));
+            tokio::time::sleep(IN_FORCE_BOUND).await;
+        }
+        stop.send_replace(true);
+        versions.last().and_then(|accepted| accepted["version"].as_u64())
+    };
+
+    let both = async { tokio::join!(join_all(seen), changes) };
+    let (seen, last) = tokio::time::timeout(STEP_BOUND, both).await.expect("the changes go on");
+
+    for versions in seen {
+        assert!(versions.is_sorted(), "a version went back: {versions:?}");
+        assert_eq!(versions.last().copied(), last);
+    }
+}
