--- a/src/serve.rs
+++ b/src/serve.rs
@@ -24,7 +24,7 @@
 use crate::platform::Objects;
 use crate::timer::Timer;
 use crate::usage::{self, Ledger};
-use crate::{admin, entry};
+use crate::{admin, entry, orders};
 
 /// Reports of peers' configuration that may wait to be compared.
 const HEARD_QUEUE: usize = 1_024;
@@ -86,6 +86,7 @@
     let config = config::start(cx.clone(), in_force);
     let homes = home::start(cx.clone());
     let ledger = usage::start(cx.clone());
+    orders::start(cx.clone(), config.clone());
     let claims = Claims::new(cx.clone());
     let (heard, heard_rx) = mpsc::channel(HEARD_QUEUE);
     let outputs = Outputs { members, loads, heard };
