Say when to retry a claim that could not be made; test plain services right

The outage test saw claim_unavailable without Retry-After, where waiting helps. Three checks were wrong and are replaced by ones as strict: the plain stand-in counted the load poll as a request although it has no load report, the tests' caller followed redirects itself, and ports of instances could be taken by outgoing connections before the process bound them.

--- a/src/entry/once.rs
+++ b/src/entry/once.rs
@@ -13,6 +13,9 @@
 /// Time after which the answer to a request that is being served may be there.
 const IN_PROGRESS_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time after which the object API may be there again.
+const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// The claim of a request, if it has one.
 pub enum Once {
     /// The request has no claim.
@@ -71,7 +74,9 @@
 
 fn unavailable() -> Refusal {
     let message = "the idempotency key can't be claimed now";
-    Unsent::new().refuse(RefusalCode::ClaimUnavailable, message)
+    Unsent::new()
+        .refuse(RefusalCode::ClaimUnavailable, message)
+        .with_retry_after(UNAVAILABLE_RETRY_AFTER)
 }
 
 impl Once {
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -211,6 +211,9 @@
             if call.path.first().is_some_and(|first| first == "control") {
                 return self.control(&call);
             }
+            if call.received.method == "GET" && call.path == ["load"] {
+                return Reply::error(404, "a plain service reports no load");
+            }
             self.run(call).await
         }
         .boxed()
--- a/tests/common/caller.rs
+++ b/tests/common/caller.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use reqwest::redirect::Policy;
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
 use standins::tokens;
@@ -119,7 +120,8 @@
 impl Caller {
     /// Makes a caller of an instance.
     pub fn new(address: SocketAddr, key: &str) -> Self {
-        let http = Client::builder().no_proxy().build().expect("no HTTP client");
+        let http = Client::builder().no_proxy().redirect(Policy::none()).build();
+        let http = http.expect("no HTTP client");
         Self { http, base: format!("http://{address}"), key: key.to_owned() }
     }
 
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -87,7 +87,9 @@
     pub async fn start(settings: FleetSettings) -> Self {
         let mut fleet = Self::start_without_sheet(settings).await;
         let first = fleet.instances.keys().next().expect("a fleet has an instance").clone();
-        fleet.wait_reachable().await;
+        for instance in fleet.instances.values() {
+            instance.wait_reachable().await;
+        }
         fleet.apply(&first, &fleet.sheet.clone()).await.expect("the sheet is refused");
         for instance in fleet.instances.values_mut() {
             instance.wait_ready().await;
@@ -146,17 +148,6 @@
         }
     }
 
-    /// Waits until all administration APIs answer.
-    async fn wait_reachable(&self) {
-        for instance in self.instances.values() {
-            let url = format!("http://{}/ready", instance.admin);
-            super::eventually("an administration API answers", || async {
-                reqwest::get(&url).await.is_ok()
-            })
-            .await;
-        }
-    }
-
     /// Applies a sheet at an instance.
     pub async fn apply(&self, at: &str, sheet: &Sheet) -> Result<Value, String> {
         self.instances[at].operate(Method::POST, "/sheet/apply", sheet.text()).await
--- a/tests/common/instance.rs
+++ b/tests/common/instance.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::process::Stdio;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use reqwest::{Client, Method};
 use rustix::process::{Pid, Signal, kill_process};
@@ -27,10 +28,22 @@
     log: NamedTempFile,
 }
 
-/// Returns a loopback address whose port is free now.
+/// First port that instances of the tests listen on, below the range of outgoing connections.
+const FIRST_PORT: u16 = 20_000;
+/// Number of ports that instances of the tests listen on.
+const PORTS: u32 = 12_000;
+
+/// Returns a loopback address whose port is free, and that no outgoing connection takes.
 pub fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("no free port");
-    listener.local_addr().expect("a listener has an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id() * 97 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (number % PORTS) as u16;
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+        if std::net::TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Instance {
@@ -90,14 +103,21 @@
         status.expect("the process goes on").expect("the process can't be waited for").success()
     }
 
+    /// Waits until the administration API answers.
+    pub async fn wait_reachable(&self) {
+        let url = format!("http://{}/ready", self.admin);
+        let _print = PrintOnPanic(&self.log);
+        let what = format!("the administration API of {} answers", self.name);
+        eventually(&what, || async { reqwest::get(&url).await.is_ok() }).await;
+    }
+
     /// Waits until the instance says that it is ready.
     pub async fn wait_ready(&self) {
         let url = format!("http://{}/ready", self.admin);
-        let wait = eventually("an instance is ready", || async {
-            reqwest::get(&url).await.is_ok_and(|answer| answer.status() == 200)
-        });
         let _print = PrintOnPanic(&self.log);
-        wait.await;
+        let what = format!("{} is ready", self.name);
+        let ready = || async { reqwest::get(&url).await.is_ok_and(|rsp| rsp.status() == 200) };
+        eventually(&what, ready).await;
     }
 
     /// Returns what the administration API says about the instance.
