--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -200,6 +200,7 @@
         "method": received.method,
         "target": received.target,
         "request_id": received.header("x-request-id"),
+        "idempotency_key": received.header("idempotency-key"),
         "body": received.body,
     })
 }
@@ -210,6 +211,9 @@
             if call.path.first().is_some_and(|first| first == "control") {
                 return self.control(&call);
             }
+            if call.received.method == "GET" && call.path == ["load"] {
+                return Reply::error(404, "a plain service reports no load");
+            }
             self.run(call).await
         }
         .boxed()
--- a/tests/common/caller.rs
+++ b/tests/common/caller.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use reqwest::redirect::Policy;
 use reqwest::{Client, RequestBuilder, Response};
 use serde_json::{Value, json};
 use standins::tokens;
@@ -54,14 +55,18 @@
         self.status == 200 && self.done && self.error.is_null() && !self.broken
     }
 
+    /// Returns whether the answer is whole, and the one to these messages.
+    pub fn is_whole(&self, messages: &Value, count: u64) -> bool {
+        self.looks_whole()
+            && self.text == tokens::answer(messages, count)
+            && self.finish_reason.is_some()
+            && self.usage["completion_tokens"] == count
+            && self.ids.iter().all(|id| id.ends_with(&self.request_id))
+    }
+
     /// Checks that the answer is whole, and the one to these messages.
     pub fn assert_whole(&self, messages: &Value, count: u64) {
-        assert!(self.looks_whole(), "not whole: {self:?}");
-        assert_eq!(self.text, tokens::answer(messages, count), "wrong text: {self:?}");
-        assert!(self.finish_reason.is_some(), "no finish mark: {self:?}");
-        assert_eq!(self.usage["completion_tokens"], count, "wrong usage: {self:?}");
-        let own = |id: &String| id.ends_with(&self.request_id);
-        assert!(self.ids.iter().all(own), "another request's answer: {self:?}");
+        assert!(self.is_whole(messages, count), "not the whole answer: {self:?}");
     }
 
     /// Checks that the answer is whole, or an error that a caller can't take for a whole one.
@@ -115,7 +120,8 @@
 impl Caller {
     /// Makes a caller of an instance.
     pub fn new(address: SocketAddr, key: &str) -> Self {
-        let http = Client::builder().no_proxy().build().expect("no HTTP client");
+        let http = Client::builder().no_proxy().redirect(Policy::none()).build();
+        let http = http.expect("no HTTP client");
         Self { http, base: format!("http://{address}"), key: key.to_owned() }
     }
 
