--- a/examples/demo_support/fleet.rs
+++ b/examples/demo_support/fleet.rs
@@ -69,6 +69,7 @@
         ensure!(accepted["version"].is_u64(), "the sheet was refused: {accepted}");
         for index in 0..fleet.instances.len() {
             fleet.wait_ready(index).await?;
+            fleet.wait_warm(index).await?;
         }
         Ok(fleet)
     }
@@ -204,6 +205,20 @@
         eyre::bail!("instance {} is not ready", index + 1)
     }
 
+    /// Waits until an instance sees all engines as warm.
+    async fn wait_warm(&self, index: usize) -> eyre::Result<()> {
+        let deadline = Instant::now() + STEP_BOUND;
+        while Instant::now() < deadline {
+            let status = self.admin(index, reqwest::Method::GET, "/status", "".into()).await?;
+            let servers = status["backend_servers"].as_array().cloned().unwrap_or_default();
+            if servers.iter().all(|server| server["load"]["cold"] == json!(false)) {
+                return Ok(());
+            }
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+        eyre::bail!("instance {} sees cold engines", index + 1)
+    }
+
     async fn admin(
         &self,
         index: usize,
--- a/tests/common/instance.rs
+++ b/tests/common/instance.rs
@@ -72,6 +72,11 @@
         Self { name, data_centre, caller, peer, admin, args, child, log }
     }
 
+    /// Returns the process identifier; 0 if the process ended.
+    pub fn process_id(&self) -> u32 {
+        self.child.id().unwrap_or_default()
+    }
+
     /// Kills the process at once.
     pub async fn kill(&mut self) {
         self.child.kill().await.expect("the process can't be killed");
