--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use common::fleet::Placement;
 use common::{Instance, Sheet};
 use standins::platform::ListedInstance;
 use standins::{Platform, PlatformSettings};
@@ -92,10 +93,8 @@
 }
 
 async fn apply(instance: &Instance, sheet: Sheet) {
-    let file = tempfile::NamedTempFile::new().expect("no temporary file");
-    std::fs::write(file.path(), sheet.text()).expect("the sheet can't be written");
-    let path = file.path().to_str().expect("a temporary path is UTF-8");
-    instance.operate(&["sheet", "apply", path]).await.expect("the sheet is refused");
+    let applied = instance.operate(reqwest::Method::POST, "/sheet/apply", sheet.text()).await;
+    applied.expect("the sheet is refused");
 }
 
 fn sheet(instances: usize, organisations: usize) -> Sheet {
@@ -107,9 +106,13 @@
         sheet = sheet.organisation(&format!("organisation-{index}"), "timing");
     }
     for index in 0..instances * SERVERS_PER_INSTANCE {
-        let name = format!("engine-{index}");
+        let place = Placement {
+            name: format!("engine-{index}"),
+            data_centre: "kolkata-a".to_owned(),
+            routes: "timing".to_owned(),
+        };
         // No engine listens there: the cost of polling is that of a refused connection.
-        sheet = sheet.backend_server(&name, "kolkata-a", "http://127.0.0.1:9", "timing");
+        sheet = sheet.backend_server(&place, "http://127.0.0.1:9", 8, 2);
     }
     sheet
 }
--- a/tests/common/scenario.rs
+++ b/tests/common/scenario.rs
@@ -300,7 +300,8 @@
     let idempotency_key = format!("{}-{number}", traffic.name);
     let (chat, answer) = match target {
         RouteTarget::Model(model) => {
-            let mut body = caller::chat_body(&user(&prompt), traffic.tokens, number % 2 == 0);
+            let mut body =
+                caller::chat_body(&user(&prompt), traffic.tokens, number.is_multiple_of(2));
             body["model"] = model.into();
             (true, caller::read(caller.chat_request(&body)).await)
         }
