Refuse an idempotency key that holds the caller's key

The test that puts the key in every place saw it reach the plain service in the header Idempotency-Key, which is forwarded apart from the other headers and was not scanned. Forwarding a hash of it was ruled out, since services compare the text.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -8,7 +8,7 @@
 use tracing::Instrument;
 
 use super::Entry;
-use super::auth::{self, Denial, Guard};
+use super::auth::{self, Caller, Denial, Guard};
 use super::chat::{ChatRequest, Kind};
 use super::models;
 use super::once::{self, Start};
@@ -104,6 +104,7 @@
         let caller = auth::authorise(&in_force, key, route)?;
         let class = auth::choose_class(&in_force, &caller, route, req.headers())?;
         chat.check_no_key(&caller)?;
+        check_idempotency_key(idempotency_key.as_deref(), &caller)?;
         let repeatable = auth::is_repeatable(&in_force.config, &class, route);
         let route = route.name.clone();
         let work = Work { id: id.clone(), caller, class, route, repeatable, received };
@@ -124,6 +125,7 @@
         let route = plain_route(&in_force.config, req.uri().path())?;
         let caller = auth::authorise(&in_force, key, route)?;
         let class = auth::choose_class(&in_force, &caller, route, req.headers())?;
+        check_idempotency_key(idempotency_key.as_deref(), &caller)?;
         let request = PlainRequest::build(req.method(), req.uri(), req.headers(), body, &caller)?;
         let repeatable = auth::is_repeatable(&in_force.config, &class, route);
         let route = route.name.clone();
@@ -225,3 +227,13 @@
     let valid = !text.is_empty() && text.len() <= MAX_IDEMPOTENCY_KEY;
     if valid && values.all(|other| other == value) { Ok(Some(text.to_owned())) } else { Err(bad()) }
 }
+
+/// Refuses an idempotency key that holds the caller's key, since it is forwarded and stored.
+fn check_idempotency_key(idempotency_key: Option<&str>, caller: &Caller) -> Result<(), Denial> {
+    let holds_key = idempotency_key.is_some_and(|text| caller.key_is_in(text.as_bytes()));
+    if holds_key {
+        let message = "\"Idempotency-Key\" holds the caller's key";
+        return Err(Denial::new(RefusalCode::BadRequest, message));
+    }
+    Ok(())
+}
