Give every request for a slot a deadline

A request whose target had just passed asked with a deadline of zero, which the protocol reads as none, and a retry asked without any, so both could wait without bound. Found by reading; no test waits in a queue yet.

--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -22,6 +22,9 @@
 /// Time after which a repeat has a chance when no backend server takes work.
 const OUT_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Shortest deadline; a deadline of zero would mean that there is none.
+const SHORTEST_DEADLINE: Duration = Duration::from_millis(1);
+
 /// What an attempt needs of admission.
 #[derive(Debug, Clone, Default)]
 pub struct Wish {
@@ -104,9 +107,8 @@
 }
 
 fn ask(work: &Work, wish: &Wish, server: &BackendServer, wait_bound: Option<Duration>) -> Ask {
-    let left = work.time_left();
-    // A later attempt has missed its target already or goes on with a started answer.
-    let deadline = (wish.attempt == 0).then_some(left);
+    // A later attempt is late already or goes on with an answer that began: it gets a new term.
+    let left = if wish.attempt == 0 { work.time_left() } else { work.class.first_token() };
     Ask {
         request: work.id.clone(),
         server: server.name.clone(),
@@ -114,7 +116,7 @@
         class: work.class.name.clone(),
         prompt_tokens: wish.prompt_tokens,
         estimated_tokens: wish.estimated_tokens,
-        deadline,
+        deadline: Some(left.max(SHORTEST_DEADLINE)),
         wait_bound,
         repeatable: work.repeatable,
         attempt: wish.attempt,
