Keep slots free for higher tiers, and report each tier's wait

Slots that higher tiers need are now estimated from their arriving work and kept free; due promised shares are exempt, so no class starves. Ruled out: a fixed number of kept slots.

--- a/benches/policy/engine.rs
+++ b/benches/policy/engine.rs
@@ -23,6 +23,7 @@
     pub prefill: f64,
     pub tokens: f64,
     pub wanted: f64,
+    pub sent: Duration,
     pub first_token: Option<Duration>,
 }
 
@@ -85,6 +86,7 @@
         self.up = true;
         self.generation += 1;
         self.started = now;
+        self.history.clear();
         self.warm_at = now + WARM_UP;
     }
 
@@ -120,8 +122,10 @@
                 job.tokens = (job.tokens + left / gap).min(job.wanted);
             }
         }
-        let load = self.load(now);
-        self.history.push_back((now, load));
+        if self.up {
+            let load = self.load(now);
+            self.history.push_back((now, load));
+        }
         if self.history.len() > HISTORY {
             self.history.pop_front();
         }
--- a/benches/policy/run.rs
+++ b/benches/policy/run.rs
@@ -71,6 +71,7 @@
             prefill: prompt / PREFILL_PACE,
             tokens: 0.0,
             wanted: left.max(1.0),
+            sent: self.now,
             first_token: None,
         };
         let centre = self.fleet.servers[server].data_centre.as_str();
--- a/src/home/admission.rs
+++ b/src/home/admission.rs
@@ -11,6 +11,7 @@
 
 use super::client::{Ending, Figures};
 use super::fair::Waiting;
+use super::headroom::Headroom;
 use super::health::{Health, Peers};
 use super::limit::{Capacity, Limit};
 use super::occupancy::Occupancy;
@@ -18,7 +19,8 @@
 use super::queue::{Dropped, Queue, QueueSettings};
 use super::report::Report;
 use super::tenure::{Standing, Tenure};
-use crate::config::{BackendServer, Config};
+use crate::config::model::TIERS;
+use crate::config::{BackendServer, Config, Tier};
 use crate::names::{ClassName, OrganisationName};
 use crate::peer::generated::v1::ServerLoad;
 use crate::peer::generated::v1::refused::Reason;
@@ -98,6 +100,7 @@
     tenure: Tenure,
     pace: Pace,
     occupancy: Occupancy,
+    headroom: Headroom,
     estimates: BTreeMap<u64, u64>,
     running: BTreeMap<u64, Running>,
 }
@@ -123,6 +126,7 @@
             tenure: Tenure::new(now, standing),
             pace: Pace::default(),
             occupancy: Occupancy::default(),
+            headroom: Headroom::new(now),
             estimates: BTreeMap::new(),
             running: BTreeMap::new(),
         }
@@ -180,6 +184,7 @@
         if arrival.wait_bound.is_some_and(|bound| wait > bound) {
             return refuse(Reason::WaitAboveBound, wait);
         }
+        self.headroom.arrived(now, self.queue.tier(&arrival.class), self.pace.hold(charged));
         let late = arrival.deadline.is_some_and(|deadline| wait > deadline);
         if late && self.queue.waiting_in(&arrival.class) > 0 {
             return refuse(Reason::TooLate, retry_after(wait));
@@ -210,6 +215,7 @@
             && !running.first_token
         {
             running.first_token = true;
+            self.pace.first_token_seen(&running.class, time);
             self.limit.first_token_seen(now, time);
         }
         self.token_gap_seen(now, id, figures.token_gap);
@@ -316,11 +322,17 @@
             running: self.running_count() + self.occupancy.foreign(),
             waiting: self.waiting_count(),
             limit: self.allowed(now) + self.occupancy.foreign(),
-            wait_ms: self.lowest_wait(now).as_millis().min(u128::from(u32::MAX)) as u32,
+            wait_ms: self
+                .tier_wait(now, Tier(TIERS as u8 - 1))
+                .as_millis()
+                .min(u128::from(u32::MAX)) as u32,
             token_gap_us: self.limit.token_gap().map_or(0, |gap| gap.as_micros() as u32),
             cold: self.limit.is_cold(),
             ejected: self.health.is_ejected(),
             resumes: self.occupancy.resumes(),
+            tier_wait_ms: (0..TIERS as u8)
+                .map(|tier| self.tier_wait(now, Tier(tier)).as_millis() as u32)
+                .collect(),
         }
     }
 
@@ -340,7 +352,7 @@
             .iter()
             .map(|request| self.dropped(request, Dropped::TooLate, MIN_RETRY_AFTER))
             .collect();
-        while self.running_count() < self.allowed(now)
+        while self.has_slot(now)
             && let Some(request) = self.queue.pop()
         {
             decisions.push(Decision::Granted { id: request.id, cold: self.limit.is_cold() });
@@ -349,6 +361,20 @@
         decisions
     }
 
+    /// Returns whether the next request may have a slot that isn't kept for higher tiers.
+    fn has_slot(&self, now: Instant) -> bool {
+        let free = self.allowed(now).saturating_sub(self.running_count());
+        let reserved = self.queue.next_in_strict_order().map_or(0, |tier| self.reserved(now, tier));
+        free > reserved
+    }
+
+    /// Returns the slots that are kept free from a tier.
+    fn reserved(&self, now: Instant, tier: Tier) -> u32 {
+        let running = self.running.values();
+        let higher = running.filter(|running| self.queue.tier(&running.class) < tier).count();
+        self.headroom.reserved(now, tier, higher as u32, self.allowed(now))
+    }
+
     fn start(&mut self, now: Instant, request: Waiting) {
         let running = Running {
             estimate: self.estimates.remove(&request.id).unwrap_or(request.cost),
@@ -374,7 +400,7 @@
     }
 
     fn waiting(&self, now: Instant, arrival: &Arrival, charged: u64) -> Waiting {
-        let usual = self.limit.first_token().unwrap_or_default();
+        let usual = self.pace.first_token(&arrival.class);
         // The first token takes time too, but a slow server must not refuse everything.
         let latest = |deadline: Duration| now + deadline - usual.min(deadline / 2);
         Waiting {
@@ -416,19 +442,22 @@
     ) -> Duration {
         let allowed = self.allowed(now);
         let ahead = self.queue.cost_ahead(class, organisation, cost, weight);
-        if self.running_count() < allowed && ahead == 0 {
+        let free = allowed.saturating_sub(self.running_count());
+        if ahead == 0 && free > self.reserved(now, self.queue.tier(class)) {
             return Duration::ZERO;
         }
         self.pace.wait(ahead, allowed)
     }
 
-    /// Estimates the wait of a new request of the lowest tier.
-    fn lowest_wait(&self, now: Instant) -> Duration {
+    /// Estimates the wait of a new request of a tier.
+    fn tier_wait(&self, now: Instant, tier: Tier) -> Duration {
         let allowed = self.allowed(now);
-        if self.running_count() < allowed && self.queue.is_empty() {
+        let ahead = self.queue.cost_down_to(tier);
+        let free = allowed.saturating_sub(self.running_count());
+        if ahead == 0 && free > self.reserved(now, tier) {
             return Duration::ZERO;
         }
-        self.pace.wait(self.queue.cost(), allowed)
+        self.pace.wait(ahead, allowed)
     }
 }
 
--- a/src/home/mod.rs
+++ b/src/home/mod.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod client;
 pub mod fair;
+pub mod headroom;
 pub mod health;
 pub mod homes;
 pub mod limit;
--- a/src/home/pace.rs
+++ b/src/home/pace.rs
@@ -28,11 +28,17 @@
     slot_pace: f64,
     mean_cost: f64,
     corrections: BTreeMap<ClassName, f64>,
+    first_tokens: BTreeMap<ClassName, f64>,
 }
 
 impl Default for Pace {
     fn default() -> Self {
-        Self { slot_pace: DEFAULT_SLOT_PACE, mean_cost: DEFAULT_COST, corrections: BTreeMap::new() }
+        Self {
+            slot_pace: DEFAULT_SLOT_PACE,
+            mean_cost: DEFAULT_COST,
+            corrections: BTreeMap::new(),
+            first_tokens: BTreeMap::new(),
+        }
     }
 }
 
@@ -55,6 +61,23 @@
         }
     }
 
+    /// Takes note of a time to the first token.
+    pub fn first_token_seen(&mut self, class: &ClassName, time: Duration) {
+        let sample = time.as_secs_f64();
+        let known = self.first_tokens.entry(class.clone()).or_insert(sample);
+        *known += SAMPLE_WEIGHT * (sample - *known);
+    }
+
+    /// Returns the usual time to the first token of a class; zero if none was measured.
+    pub fn first_token(&self, class: &ClassName) -> Duration {
+        self.first_tokens.get(class).map_or(Duration::ZERO, |time| Duration::from_secs_f64(*time))
+    }
+
+    /// Returns how long a request of a cost holds a slot.
+    pub fn hold(&self, cost: u64) -> Duration {
+        Duration::from_secs_f64((cost as f64 / self.slot_pace.max(0.1)).min(3_600.0))
+    }
+
     /// Returns how long a number of slots take for an amount of work and the next free slot.
     pub fn wait(&self, cost_ahead: u64, slots: u32) -> Duration {
         let pace = self.slot_pace.max(0.1) * f64::from(slots.max(1));
--- a/src/home/pick.rs
+++ b/src/home/pick.rs
@@ -9,8 +9,9 @@
 
 use std::time::Duration;
 
-use crate::config::{BackendServer, Class, InForce, Repeatability, Route, ServerKind};
+use crate::config::{BackendServer, Class, InForce, Repeatability, Route, ServerKind, Tier};
 use crate::names::{BackendServerName, DataCentreName};
+use crate::peer::generated::v1::ServerLoad;
 use crate::peer::members::weight;
 use crate::peer::{Loads, Members};
 
@@ -108,7 +109,7 @@
         let mut wait = Duration::ZERO;
         match loads.get(&server.name) {
             Some(load) => {
-                wait = Duration::from_millis(load.wait_ms.into());
+                wait = tier_wait(load, wish.class.tier);
                 if wait.is_zero() {
                     // A server with many used slots is likely to be full before the request is.
                     let used = f64::from(load.running) / f64::from(load.limit.max(1));
@@ -184,6 +185,12 @@
     drawn
 }
 
+/// Returns the reported wait of a tier.
+fn tier_wait(load: &ServerLoad, tier: Tier) -> Duration {
+    let ms = load.tier_wait_ms.get(usize::from(tier.0)).copied().unwrap_or(load.wait_ms);
+    Duration::from_millis(ms.into())
+}
+
 /// Returns the extra cost of a kind of server for a class.
 fn kind_cost(class: &Class, kind: ServerKind) -> Duration {
     let careful = class.tier.0 == 0 || class.repeatability == Repeatability::NonIdempotent;
--- a/src/home/queue.rs
+++ b/src/home/queue.rs
@@ -138,6 +138,18 @@
         self.next_rank().and_then(|rank| self.classes[rank].requests.peek())
     }
 
+    /// Returns the tier of the request that is served next, unless a promised share is due.
+    pub fn next_in_strict_order(&self) -> Option<Tier> {
+        let due = self.classes.values().any(ClassQueue::is_due);
+        if due { None } else { self.highest().map(|(tier, _)| *tier) }
+    }
+
+    /// Returns the cost in tokens of the waiting requests of a tier and those above.
+    pub fn cost_down_to(&self, tier: Tier) -> u64 {
+        let classes = self.classes.iter().filter(|((other, _), _)| *other <= tier);
+        classes.map(|(_, class)| class.requests.cost()).sum()
+    }
+
     /// Takes the request that is served next.
     pub fn pop(&mut self) -> Option<Waiting> {
         let rank = self.next_rank()?.clone();
