--- a/src/entry/auth.rs
+++ b/src/entry/auth.rs
@@ -1,5 +1,7 @@
 //! Authentication: which key a request carries, and what the key allows at this moment.
 
+use std::time::Duration;
+
 use salvo::http::HeaderMap;
 use salvo::http::header::AUTHORIZATION;
 
@@ -24,12 +26,20 @@
     pub code: RefusalCode,
     /// Text for people.
     pub message: String,
+    /// Time after which a repeat has a chance, where waiting helps.
+    pub retry_after: Option<Duration>,
 }
 
 impl Denial {
     /// Makes a denial.
     pub fn new(code: RefusalCode, message: impl Into<String>) -> Self {
-        Self { code, message: message.into() }
+        Self { code, message: message.into(), retry_after: None }
+    }
+
+    /// Adds the time after which a repeat has a chance.
+    #[must_use]
+    pub fn with_retry_after(self, delay: Duration) -> Self {
+        Self { retry_after: Some(delay), ..self }
     }
 }
 
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -39,7 +39,7 @@
     /// Refuses the request: as not run if no attempt wrote a byte, else as unknown, or as ran if
     /// a part of an answer was received.
     pub fn refuse(self, denial: Denial, answered: bool, retry_after: Option<Duration>) -> Refusal {
-        let Denial { code, message } = denial;
+        let Denial { code, message, .. } = denial;
         let refusal = match self {
             Self::Unsent(unsent) => unsent.refuse(code, message),
             Self::Sent(sent) if answered => sent.refuse_ran(code, message),
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -1,5 +1,7 @@
 //! Takes each request: authenticates and classifies it, and starts to serve it.
 
+use std::sync::Arc;
+
 use salvo::http::header::CONTENT_LENGTH;
 use salvo::http::{Method, ParseError};
 use salvo::prelude::{Depot, FlowCtrl, Request, Response};
@@ -21,6 +23,7 @@
 use crate::claim::StoredAnswer;
 use crate::claim::record::content_hash;
 use crate::config::{Config, Route};
+use crate::home::{OverLimit, Started};
 use crate::names::RequestId;
 use crate::outcome::{Refusal, RefusalCode, Unsent};
 
@@ -51,7 +54,12 @@
         match self.start(req, id).await {
             Ok(reply) => reply,
             Err(denial) => {
+                let retry_after = denial.retry_after;
                 let refusal = unsent.refuse(denial.code, denial.message);
+                let refusal = match retry_after {
+                    Some(delay) => refusal.with_retry_after(delay),
+                    None => refusal,
+                };
                 let code = refusal.code().as_str();
                 self.cx.metrics.add(crate::metrics::Counter::Refused, code, 1);
                 tracing::info!(code, "request refused");
@@ -107,7 +115,9 @@
         check_idempotency_key(idempotency_key.as_deref(), &caller)?;
         let repeatable = auth::is_repeatable(&in_force.config, &class, route);
         let route = route.name.clone();
-        let work = Work { id: id.clone(), caller, class, route, repeatable, received };
+        let started = self.start_running(&caller)?;
+        let id = id.clone();
+        let work = Work { id, caller, class, route, repeatable, received, started };
         let content_hash = content_hash(req.method().as_str(), kind.path(), &body);
         Ok(self.serve_chat(work, chat, idempotency_key, content_hash).await)
     }
@@ -129,10 +139,28 @@
         let request = PlainRequest::build(req.method(), req.uri(), req.headers(), body, &caller)?;
         let repeatable = auth::is_repeatable(&in_force.config, &class, route);
         let route = route.name.clone();
-        let work = Work { id: id.clone(), caller, class, route, repeatable, received };
+        let started = self.start_running(&caller)?;
+        let id = id.clone();
+        let work = Work { id, caller, class, route, repeatable, received, started };
         Ok(self.serve_plain(work, request, idempotency_key).await)
     }
 
+    /// Counts a request as running for its organisation.
+    ///
+    /// # Errors
+    /// If the organisation is over one of its limits.
+    fn start_running(&self, caller: &Caller) -> Result<Arc<Started>, Denial> {
+        let started = self.limits.try_start(&caller.organisation);
+        started.map(Arc::new).map_err(|over| {
+            let (what, delay) = match over {
+                OverLimit::Running(delay) => ("too many requests run", delay),
+                OverLimit::Tokens(delay) => ("the tokens of this minute are used", delay),
+            };
+            let message = format!("the organisation is over its limit: {what}");
+            Denial::new(RefusalCode::OrganisationLimit, message).with_retry_after(delay)
+        })
+    }
+
     async fn serve_plain(&self, work: Work, request: PlainRequest, key: Option<String>) -> Reply {
         let claimed_key = key.as_deref().filter(|_| !work.repeatable);
         let hash = || content_hash(request.method.as_str(), &request.target, &request.body);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -33,7 +33,7 @@
 use crate::claim::Claims;
 use crate::config::BackendServer;
 use crate::context::Context;
-use crate::home::Admitter;
+use crate::home::{Admitter, OrganisationLimits};
 use crate::usage::Ledger;
 
 /// Shared parts of the entry; clones are cheap.
@@ -43,6 +43,8 @@
     pub cx: Context,
     /// Asks for slots.
     pub admitter: Admitter,
+    /// Limits of organisations.
+    pub limits: OrganisationLimits,
     /// Records what is to be billed.
     pub ledger: Ledger,
     /// Makes claims of idempotency keys.
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -13,7 +13,7 @@
 use super::retry::RetryBudget;
 use crate::claim::{Claims, janitor};
 use crate::context::Context;
-use crate::home::Admitter;
+use crate::home::{Admitter, OrganisationLimits};
 use crate::usage::Ledger;
 
 /// Longest time that a caller may take to send its headers.
@@ -32,6 +32,7 @@
     listener: TcpListener,
     cx: Context,
     admitter: Admitter,
+    limits: OrganisationLimits,
     ledger: Ledger,
     claims: Claims,
 ) -> eyre::Result<()> {
@@ -41,6 +42,7 @@
     let entry = Entry {
         cx,
         admitter,
+        limits,
         ledger,
         claims,
         backends: Backends::new()?,
--- a/src/entry/work.rs
+++ b/src/entry/work.rs
@@ -1,5 +1,6 @@
 //! A request that was authenticated and classified, and what is noted about it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -8,6 +9,7 @@
 use crate::config::Class;
 use crate::context::Context;
 use crate::event::{About, EventKind};
+use crate::home::Started;
 use crate::home::client::Figures;
 use crate::metrics::{Counter, Timing};
 use crate::names::{BackendServerName, RequestId, RouteName};
@@ -29,6 +31,8 @@
     pub repeatable: bool,
     /// When it was received.
     pub received: Instant,
+    /// Its place among the running requests of its organisation.
+    pub started: Arc<Started>,
 }
 
 /// Times measured over the answer as the caller sees it.
@@ -54,8 +58,9 @@
         self.class.first_token().saturating_sub(self.received.elapsed())
     }
 
-    /// Returns the record to bill.
+    /// Charges the tokens to the organisation's limit; returns the record to bill.
     pub fn served(&self, prompt_tokens: u64, output_tokens: u64) -> Served {
+        self.started.used(prompt_tokens + output_tokens);
         Served {
             request: self.id.clone(),
             organisation: self.caller.organisation.clone(),
--- a/src/home/mod.rs
+++ b/src/home/mod.rs
@@ -26,6 +26,7 @@
 
 pub use client::{AdmitError, Admitter, Ask, Ending, Figures, Permit};
 pub use homes::{Homes, start};
+pub use limits::OverLimit;
 pub use limits_task::{OrganisationLimits, Started};
 pub use pick::{Candidate, Picker, Wish};
 pub use service::service;
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -88,6 +88,7 @@
     let ledger = usage::start(cx.clone());
     orders::start(cx.clone(), config.clone());
     let claims = Claims::new(cx.clone());
+    let limits = homes.limits();
     let (heard, heard_rx) = mpsc::channel(HEARD_QUEUE);
     let outputs = Outputs { members, loads, heard };
     let membership = Membership::start(cx.clone(), homes.clone(), outputs)?;
@@ -99,7 +100,7 @@
     let admin = admin::serve(sockets.admin, cx.clone(), config);
     let mut admin = tokio::spawn(admin);
     let admitter = Admitter::new(cx.clone());
-    let entry = entry::serve(sockets.callers, cx.clone(), admitter, ledger.clone(), claims);
+    let entry = entry::serve(sockets.callers, cx.clone(), admitter, limits, ledger.clone(), claims);
     let mut entry = tokio::spawn(entry);
     tracing::info!(instance = %cx.options.instance, listen = %cx.options.listen, "serving");
 
--- a/tests/common/sheet.rs
+++ b/tests/common/sheet.rs
@@ -87,6 +87,18 @@
         self.row("organisation", name, &cells)
     }
 
+    /// Adds an organisation with a limit on its running requests.
+    pub fn limited_organisation(self, name: &str, routes: &str, max_running: usize) -> Self {
+        let max_running = max_running.to_string();
+        let cells = [
+            ("weight", "1"),
+            ("max-waiting", "100"),
+            ("routes", routes),
+            ("max-running", max_running.as_str()),
+        ];
+        self.row("organisation", name, &cells)
+    }
+
     /// Adds a data centre.
     pub fn data_centre(self, name: &str, region: &str) -> Self {
         self.row("data-centre", name, &[("region", region), ("in-service", "yes")])
--- a/tests/entry_support/mod.rs
+++ b/tests/entry_support/mod.rs
@@ -177,12 +177,14 @@
         cx.loads = loads;
 
         let homes = home::start(cx.clone());
+        let limits = homes.limits();
         let server = tonic::transport::Server::builder().add_service(home::service(homes));
         tokio::spawn(server.serve_with_incoming(TcpListenerStream::new(peers)));
         let admitter = Admitter::new(cx.clone());
         let claims = Claims::new(cx.clone());
         let ledger = usage::start(cx.clone());
-        let serving = tokio::spawn(entry::serve(callers, cx.clone(), admitter, ledger, claims));
+        let serving = entry::serve(callers, cx.clone(), admitter, limits, ledger, claims);
+        let serving = tokio::spawn(serving);
         let http = reqwest::Client::builder()
             .no_proxy()
             .redirect(reqwest::redirect::Policy::none())
