--- a/tests/claim.rs
+++ b/tests/claim.rs
@@ -7,8 +7,12 @@
 };
 use laburnumvalve::claim::{ClaimRecord, ClaimState, StoredAnswer, StoredBody};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
+/// Seed of the drawn cases.
+const SEED: u64 = 20_261_204;
+
 /// Requests with the same idempotency key in one case.
 const REQUESTS: usize = 3;
 
@@ -215,8 +219,19 @@
     requests
 }
 
+/// Draws the same cases on every run.
+fn seeded() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(SEED);
+    ProptestConfig {
+        cases: 4_000,
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 4_000, ..ProptestConfig::default() })]
+    #![proptest_config(seeded())]
 
     /// Whatever is lost, late or killed, at most one of the requests runs, and none that was
     /// refused as not run.
--- a/tests/config_state.rs
+++ b/tests/config_state.rs
@@ -9,6 +9,10 @@
 use laburnumvalve::config::state::{Adoption, State};
 use laburnumvalve::config::{Config, Key, KeyHash, Mark, MarkTarget, Marks, Organisation};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+/// Seed of the drawn cases.
+const SEED: u64 = 20_261_204;
 
 const REPLICAS: usize = 3;
 /// Wall-clock time of all edits; shards never expire in this test.
@@ -322,8 +326,19 @@
     }
 }
 
+/// Draws the same cases on every run.
+fn seeded() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(SEED);
+    ProptestConfig {
+        cases: 1_000,
+        rng_seed,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 1_000, ..ProptestConfig::default() })]
+    #![proptest_config(seeded())]
 
     #[test]
     fn versions_and_withdrawals_never_go_back(steps in proptest::collection::vec(step(), 1..80)) {
--- a/tests/home_hand_over.rs
+++ b/tests/home_hand_over.rs
@@ -18,8 +18,12 @@
 use laburnumvalve::peer::list::MemberList;
 use laburnumvalve::peer::presence::{Bounds, PresenceTable};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use tokio::time::Instant;
 
+/// Seed of the drawn cases.
+const SEED: u64 = 20_261_204;
+
 const NAMES: [&str; 3] = ["one", "two", "three"];
 const STEP: Duration = Duration::from_millis(50);
 
@@ -307,8 +311,14 @@
     }
 }
 
+/// Draws the same cases on every run.
+fn seeded() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(SEED);
+    ProptestConfig { cases: 400, rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(seeded())]
 
     #[test]
     fn all_homes_together_stay_within_the_cold_limit(
--- a/tests/home_queue.rs
+++ b/tests/home_queue.rs
@@ -8,9 +8,13 @@
 use laburnumvalve::home::fair::Waiting;
 use laburnumvalve::home::queue::{Dropped, MIN_SHARE, Queue, QueueSettings};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 use tokio::time::Instant;
 
+/// Seed of the drawn cases.
+const SEED: u64 = 20_261_204;
+
 fn queue(max_waiting: usize, shares: [u16; 3]) -> Queue {
     let classes =
         [class("gold", 0, shares[0]), class("silver", 1, shares[1]), class("bronze", 2, shares[2])];
@@ -32,7 +36,15 @@
 
 const CLASSES: [&str; 3] = ["gold", "silver", "bronze"];
 
+/// Draws the same cases on every run.
+fn seeded() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(SEED);
+    ProptestConfig { rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
 proptest! {
+    #![proptest_config(seeded())]
+
     /// A lower class is served before a waiting higher one only within its share.
     #[test]
     fn a_lower_class_takes_no_more_than_its_share(
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -11,8 +11,12 @@
     ALLOWANCE_VALIDITY, Account, Divider, OverLimit, REPORT_PERIOD, equal_part,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use tokio::time::Instant;
 
+/// Seed of the drawn cases.
+const SEED: u64 = 20_261_204;
+
 fn limited(max_running: u32) -> Organisation {
     Organisation { max_running: Some(max_running), ..organisation("timers", 1) }
 }
@@ -98,7 +102,15 @@
     }
 }
 
+/// Draws the same cases on every run.
+fn seeded() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(SEED);
+    ProptestConfig { rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
 proptest! {
+    #![proptest_config(seeded())]
+
     #[test]
     fn the_fleet_stays_within_the_stated_bound(
         limit in 4_u32..40,
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -8,9 +8,13 @@
 use laburnumvalve::peer::list::MemberList;
 use laburnumvalve::peer::presence::{Bounds, PresenceTable};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 use tokio::time::Instant;
 
+/// Seed of the drawn cases.
+const SEED: u64 = 20_261_204;
+
 const SUSPECT_AFTER: Duration = Duration::from_millis(3_500);
 
 fn list(names: &[&str]) -> MemberList {
@@ -71,7 +75,15 @@
     assert_eq!((after_one, after_two), (false, true));
 }
 
+/// Draws the same cases on every run.
+fn seeded() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(SEED);
+    ProptestConfig { rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
 proptest! {
+    #![proptest_config(seeded())]
+
     /// While a is certain of b, b does not suspect a, whatever beats and replies are lost or late.
     #[test]
     fn certain_of_a_peer_implies_that_it_does_not_suspect(
--- a/tests/sheet.rs
+++ b/tests/sheet.rs
@@ -6,8 +6,12 @@
 use laburnumvalve::sheet::diff::Change;
 use laburnumvalve::sheet::{Problem, diff, export, parse};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
+/// Seed of the drawn cases.
+const SEED: u64 = 20_261_204;
+
 /// Returns a small sheet that is accepted.
 fn plain_sheet() -> String {
     "\
@@ -301,7 +305,15 @@
     assert_eq!(again, config);
 }
 
+/// Draws the same cases on every run.
+fn seeded() -> ProptestConfig {
+    let rng_seed = RngSeed::Fixed(SEED);
+    ProptestConfig { rng_seed, failure_persistence: None, ..ProptestConfig::default() }
+}
+
 proptest! {
+    #![proptest_config(seeded())]
+
     /// Whatever the bytes are, reading ends with a configuration or with reasons.
     #[test]
     fn any_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
