Let a broken answer wait for a server that can go on with it

Cause: in the first seconds of an instance no load says yet which engines resume, so a broken answer found no candidate and ended in an error.

--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::Entry;
 use super::auth::Denial;
@@ -11,6 +11,7 @@
 use super::retry::backoff;
 use super::work::Work;
 use crate::config::BackendServer;
+use crate::context::Context;
 use crate::event::EventKind;
 use crate::home::client::{AdmitError, Ask, Permit};
 use crate::metrics::Timing;
@@ -19,6 +20,9 @@
 
 /// Rounds of asking while home instances move or can't be reached.
 const MAX_ROUNDS: u32 = 5;
+/// How long a broken answer waits for a server that is known to go on with it: a home instance asks
+/// an engine each half second, and its beats pass on what it learned each second.
+const RESUME_WAIT: Duration = Duration::from_secs(3);
 /// Time after which a repeat has a chance when no backend server takes work.
 const OUT_RETRY_AFTER: Duration = Duration::from_secs(2);
 
@@ -76,11 +80,27 @@
                 sleep(backoff(round)).await;
                 round += 1;
             }
+            Err(error) if may_resume_later(wish, &error) && started.elapsed() < RESUME_WAIT => {
+                wait_for_loads(&entry.cx, RESUME_WAIT.saturating_sub(started.elapsed())).await;
+            }
             Err(error) => return Err(no_slot(error)),
         }
     }
 }
 
+/// Returns whether a server that can go on with a broken answer may become known soon.
+fn may_resume_later(wish: &Wish, error: &AdmitError) -> bool {
+    wish.resume && matches!(error, AdmitError::Out | AdmitError::Ejected)
+}
+
+/// Waits until new loads are known, but not longer than a bound.
+async fn wait_for_loads(cx: &Context, bound: Duration) {
+    let mut loads = cx.loads.clone();
+    loads.mark_unchanged();
+    // A passed bound is found by the caller's own clock.
+    let _ = timeout(bound, loads.changed()).await;
+}
+
 /// Asks the candidates in order; the first one again if it was passed over for its wait only.
 async fn ask_candidates(
     entry: &Entry,
