Model the balancer of the demonstration: it leaves a draining instance after a second

Cause: the callers went on sending to the stopped instance until it was gone, so one of 813 requests met a closed port. A balancer stops when /ready answers 503. The check stays as it is.

--- a/examples/demo.rs
+++ b/examples/demo.rs
@@ -16,6 +16,8 @@
 const STREAMS: usize = 4;
 /// How long traffic runs between two events.
 const PHASE: Duration = Duration::from_secs(3);
+/// How long the balancer goes on sending to an instance that is no longer ready.
+const BALANCER_LAG: Duration = Duration::from_secs(1);
 /// Bound until a withdrawal or a taking-out is in force on every instance.
 const IN_FORCE_BOUND: Duration = Duration::from_secs(4);
 
@@ -47,10 +49,12 @@
 
     tokio::time::sleep(PHASE).await;
     println!("stopping instance valve-3 gracefully, with requests under way");
-    fleet.stop_instance(2).await?;
+    fleet.begin_stop(2);
+    tokio::time::sleep(BALANCER_LAG).await;
     for caller in &callers {
         caller.leave(fleet.entry(2));
     }
+    fleet.wait_stopped(2).await?;
 
     tokio::time::sleep(PHASE).await;
     fleet.withdraw_key(&withdrawn.id).await?;
--- a/examples/demo_support/caller.rs
+++ b/examples/demo_support/caller.rs
@@ -111,7 +111,13 @@
     let started = Instant::now();
     let url = format!("http://{entry}/v1/chat/completions");
     let answer = http.post(url).bearer_auth(key).json(&body).send().await;
-    let Ok(mut answer) = answer else { return (Outcome::Refused, 0) };
+    let mut answer = match answer {
+        Ok(answer) => answer,
+        Err(error) => {
+            eprintln!("no answer: {error}");
+            return (Outcome::Refused, 0);
+        }
+    };
     if !answer.status().is_success() {
         eprintln!("refused: {}", answer.text().await.unwrap_or_default());
         return (Outcome::Refused, 0);
--- a/examples/demo_support/fleet.rs
+++ b/examples/demo_support/fleet.rs
@@ -114,14 +114,17 @@
         self.until_everywhere(key, StatusCode::UNAUTHORIZED, bound).await
     }
 
-    /// Stops one instance gracefully; returns when it stopped.
-    pub async fn stop_instance(&mut self, index: usize) -> eyre::Result<()> {
-        let instance = &mut self.instances[index];
-        if let Some(stop) = instance.stop.take() {
-            // An instance that ended by itself is reported by its task below.
+    /// Asks one instance to shut down gracefully.
+    pub fn begin_stop(&mut self, index: usize) {
+        if let Some(stop) = self.instances[index].stop.take() {
+            // An instance that ended by itself is reported when it is waited for.
             let _ = stop.send(());
         }
-        if let Some(task) = instance.task.take() {
+    }
+
+    /// Waits until one instance has stopped.
+    pub async fn wait_stopped(&mut self, index: usize) -> eyre::Result<()> {
+        if let Some(task) = self.instances[index].task.take() {
             tokio::time::timeout(STEP_BOUND, task).await.wrap_err("an instance goes on")???;
         }
         Ok(())
@@ -130,7 +133,8 @@
     /// Stops the running instances but the first one, which then reports the usage of all.
     pub async fn stop_all(&mut self) -> eyre::Result<()> {
         for index in 1..self.instances.len() {
-            self.stop_instance(index).await?;
+            self.begin_stop(index);
+            self.wait_stopped(index).await?;
         }
         Ok(())
     }
