Revert the estimate of a wait at a home that may not grant yet

Cause sought: refusals as too_late in the demonstration while an instance drains. Conclusion: not the cause.

--- a/src/home/admission.rs
+++ b/src/home/admission.rs
@@ -18,7 +18,7 @@
 use super::pace::{Pace, cost};
 use super::queue::{Dropped, Queue, QueueSettings};
 use super::report::Report;
-use super::tenure::{HAND_OVER_PERIOD, Standing, Tenure};
+use super::tenure::{Standing, Tenure};
 use crate::config::model::TIERS;
 use crate::config::{BackendServer, Config, Tier};
 use crate::names::{ClassName, OrganisationName};
@@ -446,13 +446,7 @@
         if ahead == 0 && free > self.reserved(now, self.queue.tier(class)) {
             return Duration::ZERO;
         }
-        self.pace.wait(ahead, allowed).max(self.hand_over_wait(now))
-    }
-
-    /// Returns the least wait while nothing may be granted because the home is new.
-    fn hand_over_wait(&self, now: Instant) -> Duration {
-        let none_allowed = self.limit.is_cold() && self.allowed(now) == 0;
-        if none_allowed && self.tenure.must_ask() { HAND_OVER_PERIOD } else { Duration::ZERO }
+        self.pace.wait(ahead, allowed)
     }
 
     /// Estimates the wait of a new request of a tier.
@@ -463,7 +457,7 @@
         if ahead == 0 && free > self.reserved(now, tier) {
             return Duration::ZERO;
         }
-        self.pace.wait(ahead, allowed).max(self.hand_over_wait(now))
+        self.pace.wait(ahead, allowed)
     }
 }
 
--- a/src/home/homes.rs
+++ b/src/home/homes.rs
@@ -11,7 +11,7 @@
 use super::limits_task::OrganisationLimits;
 use super::poll;
 use super::task::{self, Message, QueueHandle};
-use super::tenure::{HAND_OVER_PERIOD, PauseWatch, Standing, left_behind, to_ask};
+use super::tenure::{PauseWatch, Standing, left_behind, to_ask};
 use crate::config::{BackendServer, InForce};
 use crate::context::Context;
 use crate::names::BackendServerName;
@@ -21,6 +21,8 @@
 
 /// How long the question to a previous home may take.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Period at which the question is repeated.
+const HAND_OVER_PERIOD: Duration = Duration::from_millis(500);
 /// How long a queue task may take to list its requests.
 const IN_FLIGHT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Period at which changes are looked for that no channel announces.
--- a/src/home/tenure.rs
+++ b/src/home/tenure.rs
@@ -32,9 +32,6 @@
 /// Time that a new home waits for a previous home that doesn't answer.
 pub const HOLD: Duration = Duration::from_secs(4);
 
-/// Period at which a new home asks the others, and so the least time until it may grant a slot.
-pub const HAND_OVER_PERIOD: Duration = Duration::from_millis(500);
-
 /// Time after which a standing that was not renewed counts as doubtful, as after a pause.
 const STANDING_EXPIRY: Duration = Duration::from_millis(1_500);
 
