Miss only instances that beat here: no suspicion across data centres in a large fleet

Over 32 listed instances beats go to the own data centre and two others, but silence was counted for all, so every distant instance would be suspected and each data centre would become home of the others' backend servers. Ruled out: beats to all (340 a second from each instance are over the budget).

--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -15,7 +15,7 @@
 use super::list::{self, MemberList};
 use super::load::Loads;
 use super::members::{self, Member, Members};
-use super::presence::{Bounds, PresenceTable};
+use super::presence::{Bounds, PresenceTable, SMALL_FLEET};
 use crate::clock::Hlc;
 use crate::context::Context;
 use crate::event::EventKind;
@@ -24,8 +24,6 @@
 use crate::names::InstanceName;
 use crate::platform::PlatformError;
 
-/// Up to this many listed instances, beats go to all of them.
-const SMALL_FLEET: usize = 32;
 /// Instances of other data centres that get a beat each period in a larger fleet.
 const DISTANT_PEERS: usize = 2;
 /// Instances of each data centre that read the platform's list.
--- a/src/peer/presence.rs
+++ b/src/peer/presence.rs
@@ -9,6 +9,8 @@
 use super::members::Members;
 use crate::names::InstanceName;
 
+/// Up to this many listed instances, beats go to all of them.
+pub const SMALL_FLEET: usize = 32;
 /// Refused connections in a row after which a peer counts as gone at once.
 const REFUSALS_TO_SUSPECT: u32 = 2;
 
@@ -37,6 +39,8 @@
 struct Presence {
     incarnation: u64,
     listed_at: Instant,
+    /// Whether it beats often enough that its silence tells something.
+    beats_here: bool,
     heard_at: Option<Instant>,
     /// When the latest beat that the peer acknowledged was sent.
     acknowledged_at: Option<Instant>,
@@ -61,15 +65,20 @@
     /// Takes over a new list: forgets instances that left it, and starts to wait for new ones.
     pub fn relist(&mut self, list: &MemberList, now: Instant) {
         self.peers.retain(|name, _| list.members.contains_key(name));
-        for name in list.members.keys().filter(|name| **name != self.own) {
-            self.peers.entry(name.clone()).or_insert(Presence {
+        let small = list.members.len() <= SMALL_FLEET;
+        let own_centre = list.members.get(&self.own).map(|own| own.data_centre.clone());
+        for (name, member) in list.members.iter().filter(|(name, _)| **name != self.own) {
+            let beats_here = small || Some(&member.data_centre) == own_centre.as_ref();
+            let presence = self.peers.entry(name.clone()).or_insert(Presence {
                 incarnation: 0,
                 listed_at: now,
+                beats_here,
                 heard_at: None,
                 acknowledged_at: None,
                 refusals: 0,
                 draining: false,
             });
+            presence.beats_here = beats_here;
         }
     }
 
@@ -120,8 +129,8 @@
 
     fn is_silent(&self, presence: &Presence, now: Instant) -> bool {
         let since = presence.heard_at.unwrap_or(presence.listed_at);
-        presence.refusals >= REFUSALS_TO_SUSPECT
-            || now.duration_since(since) > self.bounds.suspect_after
+        let silent = now.duration_since(since) > self.bounds.suspect_after;
+        presence.refusals >= REFUSALS_TO_SUSPECT || (presence.beats_here && silent)
     }
 
     fn is_certain(&self, presence: &Presence, now: Instant) -> bool {
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -61,6 +61,27 @@
     assert!(!table.members(&list(&["a", "b"]), false, start).certain.contains("b"));
 }
 
+/// In a large fleet only instances of the own data centre beat often enough to be missed.
+#[rstest]
+#[case::own_data_centre("near-1", true)]
+#[case::another_data_centre("far-1", false)]
+fn in_a_large_fleet_only_near_instances_are_missed(#[case] silent: &str, #[case] missed: bool) {
+    let start = Instant::now();
+    let names: Vec<String> =
+        (0..20).flat_map(|n| [format!("near-{n}"), format!("far-{n}")]).collect();
+    let mut list = list(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    for (name, member) in &mut list.members {
+        let far = name.as_str().starts_with("far");
+        member.data_centre = if far { "kolkata-b" } else { "kolkata-a" }.into();
+    }
+    let mut table = PresenceTable::new("near-0".into(), Bounds::new(SUSPECT_AFTER));
+    table.relist(&list, start);
+
+    let members = table.members(&list, false, start + Duration::from_secs(10));
+
+    assert_eq!(members.suspected.contains(silent), missed);
+}
+
 #[test]
 fn two_refused_connections_make_a_peer_suspected_at_once() {
     let start = Instant::now();
