Build the HTTP client of the platform's interfaces in one place

Cause: three clients built it with the same lines, and the reader of the instance list without the rule against redirects and the connect bound.

--- a/src/orders/client.rs
+++ b/src/orders/client.rs
@@ -1,7 +1,6 @@
 //! The client of the backend server interface.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use reqwest::{StatusCode, Url};
 use serde_json::json;
@@ -59,11 +58,7 @@
     /// # Errors
     /// Fails if the HTTP client can't be built.
     pub fn new(base: &str) -> eyre::Result<Self> {
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .redirect(reqwest::redirect::Policy::none())
-            .connect_timeout(Duration::from_secs(1))
-            .build()?;
+        let http = crate::platform::http::client()?;
         Ok(Self { http, base: base.trim_end_matches('/').to_owned() })
     }
 
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -78,7 +78,7 @@
     /// Fails if the HTTP client can't be built.
     pub fn start(cx: Context, homes: Homes, outputs: Outputs) -> eyre::Result<Self> {
         let (tx, rx) = mpsc::channel(INBOX);
-        let http = reqwest::Client::builder().no_proxy().build()?;
+        let http = crate::platform::http::client()?;
         let bounds = Bounds::new(cx.options.suspect_after);
         let task = Task {
             table: PresenceTable::new(cx.options.instance.clone(), bounds),
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,17 @@
+//! The HTTP client for the platform's interfaces.
+
+use std::time::Duration;
+
+use reqwest::redirect::Policy;
+
+/// How long opening a connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Makes a client that uses no proxy of the environment and follows no redirect.
+///
+/// # Errors
+/// Fails if the client can't be built.
+pub fn client() -> eyre::Result<reqwest::Client> {
+    let builder = reqwest::Client::builder().no_proxy().redirect(Policy::none());
+    Ok(builder.connect_timeout(CONNECT_TIMEOUT).build()?)
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,5 +1,6 @@
 //! The platform: its object API, its list of instances and its other interfaces.
 
+pub mod http;
 pub mod lease;
 pub mod objects;
 
--- a/src/usage/report.rs
+++ b/src/usage/report.rs
@@ -43,11 +43,7 @@
     /// # Errors
     /// Fails if the HTTP client can't be built.
     pub fn new(base: &str) -> eyre::Result<Self> {
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .redirect(reqwest::redirect::Policy::none())
-            .connect_timeout(Duration::from_secs(1))
-            .build()?;
+        let http = crate::platform::http::client()?;
         Ok(Self { http, base: base.trim_end_matches('/').to_owned() })
     }
 
