Note the work mix apart from the choice, so that repeats use it too

Cause: a repeat, a resumed stream and a moved one divided the engines by the default share, since only a first choice noted and read the mix. A request is noted when it is admitted; each choice reads the share.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -78,7 +78,7 @@
         .ok_or(Refusal::NotRun { retry_after_s: RETRY_AFTER_S })?
         .clone();
     let patience = head.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
-    cx.note_request(&service.name);
+    cx.note_request(&service, &head.demand);
     Ok(Job {
         service,
         organisation,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -15,7 +15,7 @@
 use crate::platform::Collection;
 use crate::routing::budget::RetryBudget;
 use crate::routing::catalog::{Catalog, Service, ServiceName};
-use crate::routing::choose::{Choice, Demand, choose};
+use crate::routing::choose::{Choice, ChoiceSettings, Demand, choose};
 use crate::routing::cold::{ColdSends, may_send_cold};
 use crate::routing::fleet::{Fleet, Server};
 use crate::routing::load::{Loads, Verdict};
@@ -153,11 +153,24 @@
         self.members.borrow().count().max(self.cfg.borrow().least_instances)
     }
 
-    /// Notes a request of a caller for the retry budget of its service.
-    pub fn note_request(&self, service: &ServiceName) {
+    /// Notes a request of a caller for the retry budget and the work mix of its service.
+    pub fn note_request(&self, service: &Service, demand: &Demand) {
+        let now = Instant::now();
         let cfg = self.cfg();
         let mut budgets = self.budgets.borrow_mut();
-        budgets.entry(service.clone()).or_default().note_request(Instant::now(), &cfg.budget);
+        budgets.entry(service.name.clone()).or_default().note_request(now, &cfg.budget);
+        let slots = self.fleet.borrow().usable(&service.name).next().map(|s| s.entry.slots);
+        if let Some(slots) = slots.filter(|_| service.is_engine) {
+            let mut mixes = self.mix.borrow_mut();
+            mixes.entry(service.name.clone()).or_default().note(now, &cfg.choice, demand, slots);
+        }
+    }
+
+    /// Returns the weights of the choice, with the engines divided as the work asks.
+    fn weights(&self, service: &Service, cfg: &GatewaySettings) -> ChoiceSettings {
+        let mixes = self.mix.borrow();
+        let share = mixes.get(&service.name).map(|mix| mix.short_share(&cfg.choice));
+        ChoiceSettings { short_share: share.unwrap_or(cfg.choice.short_share), ..cfg.choice }
     }
 
     /// Takes one repeat out of the retry budget of a service; returns false if it is used up.
@@ -187,16 +200,7 @@
         if sound.is_empty() {
             sound = bearing;
         }
-        let mut weights = cfg.choice;
-        if let Some(first) = sound.first()
-            && service.is_engine
-            && tried.is_empty()
-        {
-            let mut mix = self.mix.borrow_mut();
-            let mix = mix.entry(service.name.clone()).or_default();
-            mix.note(now, &cfg.choice, demand, first.entry.slots);
-            weights.short_share = mix.short_share(&cfg.choice);
-        }
+        let weights = self.weights(service, &cfg);
         let choice = choose(now, &weights, &cfg.data_centre, demand, &sound, &loads)?;
         let server = fleet.get(&choice.server)?.clone();
         Some((choice, server))
