--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -20,6 +21,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time without an acknowledgement from the peer's machine after which a connection is closed.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time without traffic after which the peer's machine is probed, and between probes; whole seconds.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
 /// How long a connection is kept idle if the backend server states no timeout.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Time before a backend server's own idle timeout at which a connection is dropped.
@@ -179,5 +182,9 @@
 /// Turns off delays of small writes, and detects a peer whose machine no longer answers.
 fn set_options(socket: &TcpStream) -> std::io::Result<()> {
     socket.set_nodelay(true)?;
-    socket2::SockRef::from(socket).set_tcp_user_timeout(Some(SILENCE_TIMEOUT))
+    let socket = socket2::SockRef::from(socket);
+    let probes = TcpKeepalive::new().with_time(PROBE_PERIOD).with_interval(PROBE_PERIOD);
+    socket.set_tcp_keepalive(&probes)?;
+    // Ends a connection also while nothing is sent, when probes are not acknowledged.
+    socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))
 }
