--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -15,14 +15,12 @@
 
 use super::body::ReplyBody;
 use super::handle::handle;
+use super::listen::ACCEPT_PAUSE;
 use super::shared::Shared;
 
 /// Time after the signal to stop in which callers may still open connections: the balancer needs
 /// two failed checks, one a second, to notice.
 pub const LAST_CONNECTIONS: Duration = Duration::from_millis(2_600);
-/// Pause after a failed accept, such as when descriptors run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Accepts connections until the process ends.
 pub async fn accept(cx: Rc<Shared>, listener: TcpListener) {
     loop {
--- /dev/null
+++ b/src/gateway/listen.rs
@@ -0,0 +1,46 @@
+//! Serves the instance's own interfaces: status and peers.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+
+use super::body::ReplyBody;
+
+/// Pause after a failed accept, such as when descriptors run out.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers requests on a socket until the process ends; `of` names the interface in log lines.
+pub async fn serve<F, R>(listener: TcpListener, of: &'static str, answer: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + 'static,
+    R: Future<Output = Response<ReplyBody>> + 'static,
+{
+    loop {
+        let socket = match listener.accept().await {
+            Ok((socket, _)) => socket,
+            Err(error) => {
+                tracing::warn!(of, %error, "connection can't be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let answer = answer.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|req| {
+                let rsp = answer(req);
+                async move { Ok::<_, Infallible>(rsp.await) }
+            });
+            let served = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
+            if let Err(error) = served.await {
+                tracing::debug!(of, %error, "connection ended");
+            }
+        });
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod handle;
 pub mod ingress;
 pub mod links;
+pub mod listen;
 pub mod peers;
 pub mod record;
 pub mod relay;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,19 +4,16 @@
 //! or after a while with the age of its proof. Counts of requests travel the other way.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
 use super::body::{ReplyBody, whole};
+use super::listen;
 use super::shared::Shared;
 use super::state::{FOLLOWED, apply};
 use crate::clock::BootTime;
@@ -71,32 +68,12 @@
 
 /// Answers the questions of peers until the process ends.
 pub async fn serve(cx: Rc<Shared>, listener: TcpListener) {
-    loop {
-        let socket = match listener.accept().await {
-            Ok((socket, _)) => socket,
-            Err(error) => {
-                tracing::warn!(%error, "connection of a peer can't be accepted");
-                tokio::time::sleep(LOOK_PERIOD).await;
-                continue;
-            }
-        };
-        let cx = cx.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|req| {
-                let cx = cx.clone();
-                async move { Ok::<_, Infallible>(answer(&cx, req).await) }
-            });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
-            if let Err(error) = served.await {
-                tracing::debug!(%error, "connection of a peer ended");
-            }
-        });
-    }
+    listen::serve(listener, "peers", move |req| answer(cx.clone(), req)).await;
 }
 
-async fn answer(cx: &Shared, req: Request<Incoming>) -> Response<ReplyBody> {
+async fn answer(cx: Rc<Shared>, req: Request<Incoming>) -> Response<ReplyBody> {
     let (status, body) = match read_question(req).await {
-        Ok(question) => match serde_json::to_vec(&reply(cx, &question).await) {
+        Ok(question) => match serde_json::to_vec(&reply(&cx, &question).await) {
             Ok(bytes) => (StatusCode::OK, bytes),
             Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes()),
         },
