--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -95,9 +95,16 @@
 /// # Errors
 /// Names every field that is missing or malformed.
 pub fn parse(text: &str) -> Result<GatewaySettings, BadSettings> {
-    let lines = text.lines().map(str::trim).filter(|line| !line.is_empty());
-    let values = lines.filter_map(|line| line.split_once('=')).collect();
-    let mut fields = Fields { values, bad: Vec::new() };
+    let mut fields = Fields { values: BTreeMap::new(), bad: Vec::new() };
+    for (index, line) in text.lines().map(str::trim).enumerate() {
+        match line.split_once('=') {
+            Some((field, value)) => {
+                fields.values.insert(field, value);
+            }
+            None if line.is_empty() => {}
+            None => fields.note(&format!("line {}", index + 1), "it has no \"=\""),
+        }
+    }
     let cfg = read(&mut fields);
     if fields.bad.is_empty() { Ok(cfg) } else { Err(BadSettings(fields.bad)) }
 }
--- a/tests/routing/wire.rs
+++ b/tests/routing/wire.rs
@@ -32,11 +32,13 @@
 #[test]
 fn every_bad_setting_is_named_at_once() {
     let text = SETTINGS.replace("10.1.0.24:8740", "nowhere").replace("node=edge-1", "node=");
+    let text = text + "stray words\n";
 
-    let error = parse(&text).expect_err("two fields are bad").to_string();
+    let error = parse(&text).expect_err("three lines are bad").to_string();
 
     assert!(error.contains("node: is missing"), "{error}");
     assert!(error.contains("listen.front: \"nowhere\""), "{error}");
+    assert!(error.contains("line 12: it has no \"=\""), "{error}");
 }
 
 #[test]
