--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -67,6 +67,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     servers: HashMap<BackendServerName, Server>,
+    /// Who has an address by the latest entry; a former holder's process is gone.
+    holders: HashMap<SocketAddr, BackendServerName>,
     /// When entries were removed; those backend servers serve on for a while.
     gone: HashMap<BackendServerName, Instant>,
     out: HashSet<DataCentreName>,
@@ -107,6 +109,7 @@
         let draining_since =
             entry.is_draining.then(|| known.and_then(|known| known.draining_since).unwrap_or(now));
         self.gone.remove(&entry.name);
+        self.take_address(revision, &entry);
         let server = Server { revision, cold_until, missing_since: None, draining_since, entry };
         self.servers.insert(server.entry.name.clone(), server);
     }
@@ -118,6 +121,9 @@
     pub fn remove(&mut self, now: Instant, name: &BackendServerName) {
         if !self.lapses_without_cause(now) {
             let known = self.servers.remove(name);
+            if let Some(known) = &known {
+                self.release_address(known);
+            }
             let since = known.map(|known| known.draining_since.unwrap_or(now));
             self.gone.extend(since.map(|since| (name.clone(), since)));
         } else if let Some(server) = self.servers.get_mut(name) {
@@ -136,7 +142,9 @@
     /// Drops entries that are still missing a while after the registry returned.
     pub fn sweep(&mut self, now: Instant) {
         if !self.lapses_without_cause(now) {
-            self.servers.retain(|_, server| server.missing_since.is_none());
+            let missing = self.servers.extract_if(|_, server| server.missing_since.is_some());
+            let missing: Vec<Server> = missing.map(|(_, server)| server).collect();
+            missing.iter().for_each(|server| self.release_address(server));
         }
         self.gone.retain(|_, since| now.duration_since(*since) < GONE_KEPT);
     }
@@ -198,7 +206,35 @@
     }
 
     fn accepts(&self, server: &Server) -> bool {
-        !server.entry.is_draining && !self.out.contains(&server.entry.data_centre)
+        let entry = &server.entry;
+        let is_held = self.holders.get(&entry.address) == Some(&entry.name);
+        is_held && !entry.is_draining && !self.out.contains(&entry.data_centre)
+    }
+
+    /// Notes who has the address of an entry: the process that started last, or else the entry
+    /// that was written last.
+    ///
+    /// A backend server that comes back under another name is listed beside its former entry
+    /// until that one lapses.
+    fn take_address(&mut self, revision: u64, entry: &Registration) {
+        let known = self.servers.get(&entry.name);
+        if let Some(moved) = known.filter(|known| known.entry.address != entry.address).cloned() {
+            self.release_address(&moved);
+        }
+        let holder = self.holders.get(&entry.address).and_then(|name| self.servers.get(name));
+        let is_later = holder.is_none_or(|holder| match (entry.born, holder.entry.born) {
+            (Some(born), Some(holders)) if born != holders => born > holders,
+            _ => revision >= holder.revision,
+        });
+        if is_later {
+            self.holders.insert(entry.address, entry.name.clone());
+        }
+    }
+
+    fn release_address(&mut self, server: &Server) {
+        if self.holders.get(&server.entry.address) == Some(&server.entry.name) {
+            self.holders.remove(&server.entry.address);
+        }
     }
 
     fn lapses_without_cause(&self, now: Instant) -> bool {
--- a/tests/routing/fleet.rs
+++ b/tests/routing/fleet.rs
@@ -44,6 +44,46 @@
     assert!(fleet.leaving_since(&"a-0".into()).is_some());
 }
 
+/// Pattern: all backend servers restart under new names while the registry is away, and their
+/// former entries stay for a while.
+#[test]
+fn a_server_whose_address_another_one_has_gets_no_work() {
+    let start = Instant::now();
+    let mut fleet = fleet(start, &["a"], 2);
+    fleet.note_registry(start, false);
+    let later = at(start, 2_000);
+    let new = |number: u64| Registration {
+        address: entry(&format!("a-{number}"), "a").address,
+        ..entry(&format!("new-{number}"), "a")
+    };
+
+    fleet.replace(later, 9, vec![(8, new(0)), (9, new(1))]);
+
+    let names: HashSet<_> = usable(&fleet).into_iter().map(|server| server.entry.name).collect();
+    assert_eq!(names, HashSet::from(["new-0".into(), "new-1".into()]));
+}
+
+/// Pattern: an address is used again and again; the newest process has it, whichever entry comes
+/// last.
+#[test]
+fn the_process_that_started_last_has_the_address() {
+    let now = Instant::now();
+    let mut fleet = Fleet::default();
+    let at_one = |name: &str, born| Registration {
+        address: entry("a-0", "a").address,
+        born: Some(born),
+        ..entry(name, "a")
+    };
+    fleet.put(now, 1, at_one("new", 2_000));
+
+    fleet.put(now, 2, at_one("former", 1_000));
+    assert_eq!(usable(&fleet)[0].entry.name, "new".into());
+    fleet.remove(now, &"new".into());
+    fleet.put(now, 3, at_one("former", 1_000));
+
+    assert_eq!(usable(&fleet)[0].entry.name, "former".into());
+}
+
 #[test]
 fn entries_that_lapse_while_the_registry_is_away_stay_until_it_has_returned_for_a_while() {
     let start = Instant::now();
