--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -10,6 +10,7 @@
 use crate::platform::Collection;
 use crate::platform::catalog::{decode_config, decode_server};
 use crate::platform::store::CONFIG_NAME;
+use crate::routing::fleet::{Fleet, Registration};
 use crate::routing::members::Member;
 use crate::routing::mirror::{Item, Update};
 
@@ -72,6 +73,7 @@
             }
         }
     }
+    listed.iter().for_each(|(_, entry)| note_restart(cx, &fleet, entry));
     if update.is_whole {
         fleet.replace(now, update.at, listed);
         return;
@@ -83,6 +85,17 @@
     }
 }
 
+/// Forgets what is known of a backend server if it restarted under the same name.
+fn note_restart(cx: &Shared, fleet: &Fleet, entry: &Registration) {
+    let known = fleet.get(&entry.name).and_then(|known| known.entry.born);
+    let has_restarted = known.zip(entry.born).is_some_and(|(known, born)| known < born);
+    if has_restarted {
+        tracing::info!(server = %entry.name, "server has restarted");
+        cx.loads.borrow_mut().of(&entry.name).restart();
+        cx.links.drop_idle(&entry.name);
+    }
+}
+
 /// Takes the data centres that are out, all from the mirror: the update may hold a part of them.
 fn take_out(cx: &Shared) {
     let out: HashSet<DataCentreName> = match cx.mirrors.borrow().get(&Collection::DataCentresOut) {
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -134,6 +134,12 @@
         true
     }
 
+    /// Forgets all but the requests in flight, as the backend server has restarted.
+    pub fn restart(&mut self) {
+        let (in_flight, reading) = (self.in_flight, self.reading);
+        *self = Self { in_flight, reading, ..Self::default() };
+    }
+
     /// Leaves the backend server out for the longest time, as it is not there any more.
     pub fn eject(&mut self, now: Instant) {
         self.ejections += 1;
