--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -36,7 +36,15 @@
 const OLD_PROOF: Duration = Duration::from_millis(1_900);
 /// Pause between looks whether another instance should be asked.
 const LOOK_PERIOD: Duration = Duration::from_millis(200);
-/// Time for which the store is read directly after a source failed.
+/// Pause after a source failed.
+const SOURCE_PAUSE: Duration = Duration::from_millis(50);
+/// Growth of that pause with each further source that fails: some ten are asked in two seconds.
+const SOURCE_PAUSE_GROWTH: f64 = 1.25;
+/// Failures that the growth counts; the longest pause is reached before.
+const MAX_GROWTHS: i32 = 20;
+/// Longest of these pauses; the proof of all sources is old then, so little is lost.
+const MAX_SOURCE_PAUSE: Duration = Duration::from_millis(400);
+/// Time for which the store is read directly after a source failed, unless another one serves.
 const DIRECT_TIME: Duration = Duration::from_secs(3);
 
 value! {
@@ -133,6 +141,7 @@
     let me = cx.cfg().instance.clone();
     let data_centre = cx.cfg().data_centre.clone();
     let mut direct_until = Instant::now() + DIRECT_TIME;
+    let mut failures = 0;
     loop {
         let now = Instant::now();
         let age = cx.proof.borrow().age(BootTime::now());
@@ -160,13 +169,20 @@
         };
         let hold = if is_old { Duration::ZERO } else { HOLD };
         match ask(&cx, &client, &member, hold).await {
-            Ok(()) if is_old => tokio::time::sleep(LOOK_PERIOD).await,
-            Ok(()) => {}
+            Ok(()) => {
+                failures = 0;
+                direct_until = Instant::now();
+                if is_old {
+                    tokio::time::sleep(LOOK_PERIOD).await;
+                }
+            }
             Err(why) => {
                 tracing::warn!(peer = %name, why, "peer does not tell the platform's state");
                 cx.members.borrow_mut().pass_over(Instant::now(), &name);
                 direct_until = Instant::now() + DIRECT_TIME;
-                tokio::time::sleep(LOOK_PERIOD / 4).await;
+                let pause = SOURCE_PAUSE.mul_f64(SOURCE_PAUSE_GROWTH.powi(failures));
+                tokio::time::sleep(pause.min(MAX_SOURCE_PAUSE)).await;
+                failures = (failures + 1).min(MAX_GROWTHS);
             }
         }
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -68,6 +68,8 @@
     pub connections: Cell<usize>,
     /// Whether the last call for the configuration failed.
     pub store_fails: Cell<bool>,
+    /// Whether several calls for the configuration failed in a row; it alone is called for then.
+    pub store_is_away: watch::Sender<bool>,
     /// When the store last told of backend servers, directly or through a peer.
     registry_told_at: Cell<Option<BootTime>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -96,6 +98,7 @@
             draining: watch::Sender::new(false),
             connections: Cell::new(0),
             store_fails: Cell::new(false),
+            store_is_away: watch::Sender::new(false),
             registry_told_at: Cell::new(None),
             budgets: RefCell::default(),
             mix: RefCell::default(),
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -27,6 +27,10 @@
 /// have learned of a return.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(2_000);
 
+/// Failed calls for the configuration in a row after which no other calls are made; one more than
+/// single lost answers explain.
+const AWAY_AFTER: u32 = 2;
+
 /// Starts the tasks that read the store.
 pub fn start(cx: &Rc<Shared>, store: &Store) {
     for of in FOLLOWED {
@@ -49,9 +53,13 @@
 impl Follower {
     async fn run(mut self) {
         let mut reads = self.cx.reads_store.subscribe();
+        let mut is_away = self.cx.store_is_away.subscribe();
         loop {
-            // The sender lives as long as the state that this task holds.
+            // The senders live as long as the state that this task holds.
             let _ = reads.wait_for(|reads| *reads).await;
+            if self.of != Collection::Configs {
+                let _ = is_away.wait_for(|is_away| !*is_away).await;
+            }
             let sent_at = BootTime::now();
             let known = self.cx.mirrors.borrow().get(&self.of).and_then(|mirror| mirror.at());
             let answer = match known {
@@ -119,6 +127,7 @@
         self.failures = if error.is_some() { self.failures + 1 } else { 0 };
         if self.of == Collection::Configs {
             self.cx.store_fails.set(error.is_some());
+            self.cx.store_is_away.send_replace(self.failures >= AWAY_AFTER);
         }
         if self.of == Collection::Servers {
             self.cx.note_registry(error.is_none());
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -36,7 +36,7 @@
     let mut ticks = timer.every(PUBLISH_PERIOD);
     let mut publisher = Publisher::default();
     while ticks.recv().await.is_some() {
-        if *cx.reads_store.borrow() {
+        if *cx.reads_store.borrow() && !*cx.store_is_away.borrow() {
             publisher.publish(&cx, &store).await;
         }
     }
--- a/tests/gateway/outage.rs
+++ b/tests/gateway/outage.rs
@@ -35,6 +35,25 @@
     eventually("keys work again", || async { status(&instance, "key").await == 200 }).await;
 }
 
+/// Pattern: a store in trouble is called by everyone at once, again and again.
+#[tokio::test]
+async fn a_store_that_is_away_is_called_for_the_configuration_only() {
+    let (store, _runner) = stand_ins().await;
+    let cfg = InstanceSettings { name: "instance-1", store: store.fragile, revoke_ms: 5_000 };
+    let instance = Instance::start(cfg).await;
+
+    store.set_away(true);
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    let noticed = store.refused().len();
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+
+    let refused = store.refused().split_off(noticed);
+    let is_needed = |path: &String| path.ends_with("/config") || path.contains("/valve-leases/");
+    assert!(!refused.is_empty() && refused.iter().all(is_needed), "{refused:?}");
+    store.set_away(false);
+    eventually("keys work", || async { status(&instance, "key").await == 200 }).await;
+}
+
 #[tokio::test]
 async fn an_instance_that_the_store_turns_away_learns_of_a_withdrawn_key_from_a_peer() {
     let (store, _runner) = stand_ins().await;
--- a/tests/gateway/support/store.rs
+++ b/tests/gateway/support/store.rs
@@ -20,6 +20,8 @@
     events: Vec<(u64, String, String, bool)>,
     /// Instances whose calls are refused, by their local address; all if empty and away.
     is_away: bool,
+    /// Paths of the calls that were refused.
+    refused: Vec<String>,
 }
 
 /// The store; clones share its objects.
@@ -50,7 +52,7 @@
         store.fragile = serve(move |req| {
             let store = refusing.clone();
             async move {
-                if store.state.lock().expect("no test panicked").is_away {
+                if store.refuses(&req) {
                     return status(StatusCode::SERVICE_UNAVAILABLE);
                 }
                 store.answer(req).await
@@ -66,6 +68,19 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    fn refuses(&self, req: &Request<Incoming>) -> bool {
+        let mut state = self.state.lock().expect("no test panicked");
+        if state.is_away {
+            state.refused.push(req.uri().path().to_owned());
+        }
+        state.is_away
+    }
+
+    /// Returns the paths of the calls that were refused.
+    pub fn refused(&self) -> Vec<String> {
+        self.state.lock().expect("no test panicked").refused.clone()
+    }
+
     /// Writes an object as the operator or a backend server does.
     pub fn put(&self, kind: &str, name: &str, value: Value) -> u64 {
         let mut state = self.state.lock().expect("no test panicked");
