--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -21,6 +21,7 @@
 pub use relay::{Direction, Relay};
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// A free port on the loopback address.
@@ -31,3 +32,29 @@
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+/// First port that processes of tests listen on, below the range of outgoing connections.
+const FIRST_PORT: u16 = 20_000;
+/// Number of ports that processes of tests listen on.
+const PORTS: u32 = 12_000;
+
+/// Returns a loopback address that is free, and that no outgoing connection takes.
+///
+/// The port is bound but not listened on: a process that is being started may hold a copy of the
+/// socket for a moment, and a copy that listens would keep the port from its user.
+///
+/// # Errors
+/// Fails if no socket can be made.
+pub fn free_address() -> std::io::Result<SocketAddr> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = std::process::id() * 97 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (number % PORTS) as u16;
+        let address = SocketAddr::new(ANY_PORT.ip(), port);
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        if socket.bind(address).is_ok() {
+            return Ok(address);
+        }
+    }
+}
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -36,6 +37,8 @@
     /// Connections with a number below this one pass nothing any more.
     silent_below: u64,
     refusing: bool,
+    /// Time for which bytes are held back before they are passed on.
+    delay: Duration,
 }
 
 impl Gate {
@@ -131,6 +134,11 @@
         self.shared.gate.send_modify(|gate| gate.refusing = refusing);
     }
 
+    /// Holds bytes back for a time before they are passed on, both ways.
+    pub fn delay(&self, delay: Duration) {
+        self.shared.gate.send_modify(|gate| gate.delay = delay);
+    }
+
     /// Returns the connections accepted so far.
     pub fn accepted(&self) -> u64 {
         *lock(&self.shared.accepted)
@@ -223,6 +231,10 @@
         if !open {
             return Err(std::io::ErrorKind::ConnectionAborted.into());
         }
+        let delay = gate.borrow().delay;
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
         if length == 0 {
             return to.shutdown().await;
         }
--- a/tests/common/instance.rs
+++ b/tests/common/instance.rs
@@ -1,13 +1,13 @@
 //! One instance as a process.
 
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::process::Stdio;
-use std::sync::atomic::{AtomicU32, Ordering};
 
 use reqwest::{Client, Method};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
+use standins::free_address;
 use tempfile::NamedTempFile;
 use tokio::process::{Child, Command};
 
@@ -28,28 +28,10 @@
     log: NamedTempFile,
 }
 
-/// First port that instances of the tests listen on, below the range of outgoing connections.
-const FIRST_PORT: u16 = 20_000;
-/// Number of ports that instances of the tests listen on.
-const PORTS: u32 = 12_000;
-
-/// Returns a loopback address whose port is free, and that no outgoing connection takes.
-pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let number = std::process::id() * 97 + NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + (number % PORTS) as u16;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-        if std::net::TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 impl Instance {
     /// Starts an instance that reaches the platform at a URL.
     pub fn start(name: &str, data_centre: &str, platform: &str, extra: &[(&str, &str)]) -> Self {
-        let [caller, peer, admin] = std::array::from_fn(|_| free_address());
+        let [caller, peer, admin] = std::array::from_fn(|_| free_address().expect("no socket"));
         let addresses = [caller, peer, admin].map(|address| address.to_string());
         let settings = [
             ("instance", name),
