--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,4 +3,5 @@
 mod drain;
 mod outage;
 mod serve;
+mod soak;
 mod support;
--- a/tests/gateway/outage.rs
+++ b/tests/gateway/outage.rs
@@ -8,7 +8,7 @@
     let store = StandInStore::start().await;
     store.put("config", "main", config(1, &["key", "other-key"]));
     let runner = Runner::start("runner-1").await;
-    store.put("servers", runner.name(), runner.entry());
+    store.put("servers", &runner.name(), runner.entry());
     (store, runner)
 }
 
@@ -20,7 +20,7 @@
 #[tokio::test]
 async fn keys_stop_working_when_nothing_proves_the_configuration() {
     let (store, runner) = stand_ins().await;
-    let cfg = InstanceSettings { name: "instance-1", store: store.fragile, revoke_ms: 3_000 };
+    let cfg = InstanceSettings { store: store.fragile, revoke_ms: 3_000, ..Default::default() };
     let instance = Instance::start(cfg).await;
     assert_eq!(status(&instance, "key").await, 200);
 
@@ -39,7 +39,7 @@
 #[tokio::test]
 async fn a_store_that_is_away_is_called_for_the_configuration_only() {
     let (store, _runner) = stand_ins().await;
-    let cfg = InstanceSettings { name: "instance-1", store: store.fragile, revoke_ms: 5_000 };
+    let cfg = InstanceSettings { store: store.fragile, ..Default::default() };
     let instance = Instance::start(cfg).await;
 
     store.set_away(true);
@@ -57,8 +57,9 @@
 #[tokio::test]
 async fn an_instance_that_the_store_turns_away_learns_of_a_withdrawn_key_from_a_peer() {
     let (store, _runner) = stand_ins().await;
-    let cfg = InstanceSettings { name: "instance-1", store: store.address, revoke_ms: 5_000 };
-    let turned_away = InstanceSettings { name: "instance-2", store: store.fragile, ..cfg.clone() };
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
+    let turned_away =
+        InstanceSettings { name: "instance-2".to_owned(), store: store.fragile, ..cfg.clone() };
     let _peer = Instance::start(cfg).await;
     let instance = Instance::start(turned_away).await;
     assert_eq!(status(&instance, "other-key").await, 200);
@@ -92,12 +93,12 @@
 async fn a_removed_server_is_out_of_use_at_once_after_a_peer_had_old_news() {
     let (store, runner) = stand_ins().await;
     register_stale_peers(&store).await;
-    let cfg = InstanceSettings { name: "instance-1", store: store.address, revoke_ms: 5_000 };
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
     let instance = Instance::start(cfg).await;
 
     for round in 0..4 {
         tokio::time::sleep(std::time::Duration::from_millis(900)).await;
-        store.delete("servers", runner.name());
+        store.delete("servers", &runner.name());
         let removed = std::time::Instant::now();
         eventually("the removed server gets nothing", || async {
             status(&instance, "key").await == 503
@@ -105,7 +106,7 @@
         .await;
         let took = removed.elapsed();
         assert!(took < std::time::Duration::from_millis(1_400), "{took:?} in round {round}");
-        store.put("servers", runner.name(), runner.entry());
+        store.put("servers", &runner.name(), runner.entry());
     }
 }
 
@@ -113,14 +114,15 @@
 #[tokio::test]
 async fn a_removed_server_is_out_of_use_at_once_at_an_instance_that_is_turned_away() {
     let (store, runner) = stand_ins().await;
-    let cfg = InstanceSettings { name: "instance-1", store: store.address, revoke_ms: 5_000 };
-    let turned_away = InstanceSettings { name: "instance-2", store: store.fragile, ..cfg.clone() };
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
+    let turned_away =
+        InstanceSettings { name: "instance-2".to_owned(), store: store.fragile, ..cfg.clone() };
     let _peer = Instance::start(cfg).await;
     let instance = Instance::start(turned_away).await;
     store.set_away(true);
     tokio::time::sleep(std::time::Duration::from_secs(6)).await;
 
-    store.delete("servers", runner.name());
+    store.delete("servers", &runner.name());
     let removed = std::time::Instant::now();
     eventually("the removed server gets nothing", || async {
         status(&instance, "key").await == 503
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -2,8 +2,8 @@
 
 use rstest::rstest;
 
-use crate::support::instance::InstanceSettings;
-use crate::support::runner::whole_stream;
+use crate::support::instance::{ATTEMPT, InstanceSettings};
+use crate::support::runner::{served, whole_stream};
 use crate::support::{Fault, Instance, Runner, StandInStore, config, eventually};
 
 struct Fixture {
@@ -20,10 +20,10 @@
     for (index, fault) in faults.iter().enumerate() {
         let runner = Runner::start(&format!("runner-{index}")).await;
         runner.set_fault(*fault);
-        store.put("servers", runner.name(), runner.entry());
+        store.put("servers", &runner.name(), runner.entry());
         runners.push(runner);
     }
-    let cfg = InstanceSettings { name: "instance-1", store: store.address, revoke_ms: 5_000 };
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
     let instance = Instance::start(cfg).await;
     Fixture { store, runners, instance }
 }
@@ -42,10 +42,10 @@
 
     assert_eq!(rsp.status(), 200);
     assert_eq!(rsp.headers()["x-laburnumvalve-response-seal"], "seal");
-    assert_eq!(rsp.text().await.expect("the body is whole"), "served");
+    assert_eq!(rsp.text().await.expect("the body is whole"), served(ATTEMPT));
     let run = &fx.runners[0].runs()[0];
-    assert_eq!(run["x-laburnumvalve-tenant"], "timers");
-    assert!(!run.contains_key("x-laburnumvalve-key"));
+    assert_eq!(run.text("x-laburnumvalve-tenant"), "timers");
+    assert!(!run.headers.contains_key("x-laburnumvalve-key"));
 }
 
 #[rstest]
@@ -140,7 +140,7 @@
 
     let rsp = fx.instance.request("/stream/1", "key").send().await.expect("it is answered");
 
-    assert_eq!(rsp.text().await.expect("the stream is whole"), whole_stream());
+    assert_eq!(rsp.text().await.expect("the stream is whole"), whole_stream(ATTEMPT));
 }
 
 #[tokio::test]
@@ -149,7 +149,7 @@
 
     for _ in 0..6 {
         let rsp = fx.instance.request("/job/1", "key").send().await.expect("it is answered");
-        assert_eq!(rsp.text().await.expect("the stream is whole"), whole_stream());
+        assert_eq!(rsp.text().await.expect("the stream is whole"), whole_stream(ATTEMPT));
     }
 }
 
@@ -169,7 +169,7 @@
     let mut entry = fx.runners[0].entry();
     entry["state"] = "draining".into();
 
-    fx.store.put("servers", fx.runners[0].name(), entry);
+    fx.store.put("servers", &fx.runners[0].name(), entry);
     eventually("it is refused", || async {
         let rsp = fx.instance.request("/lookup/1", "key").send().await;
         rsp.is_ok_and(|rsp| rsp.status() == 503)
--- a/tests/gateway/support/instance.rs
+++ b/tests/gateway/support/instance.rs
@@ -1,17 +1,24 @@
 //! A gateway process.
 
-use std::net::{SocketAddr, TcpListener};
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
 use rustix::process::{Pid, Signal, kill_process};
+use standins::free_address;
 use tempfile::NamedTempFile;
 
 use super::eventually;
 
+/// Identifier of the requests of tests that make one at a time.
+pub const ATTEMPT: &str = "attempt-1";
+
 /// A running gateway; it is killed when dropped.
 pub struct Instance {
     child: Child,
-    _settings: NamedTempFile,
+    settings: NamedTempFile,
+    log: Option<PathBuf>,
     /// Where it accepts callers.
     pub callers: SocketAddr,
     ready: SocketAddr,
@@ -22,47 +29,90 @@
 #[derive(Debug, Clone)]
 pub struct InstanceSettings {
     /// Its name.
-    pub name: &'static str,
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: &'static str,
     /// The store.
     pub store: SocketAddr,
+    /// Who takes usage reports and orders.
+    pub duties: Option<SocketAddr>,
     /// Time after which a withdrawn key must not work, in ms.
     pub revoke_ms: u64,
+    /// More lines of its settings.
+    pub bounds: String,
+    /// Where its log lines go; nowhere if unset.
+    pub log: Option<PathBuf>,
+}
+
+impl Default for InstanceSettings {
+    fn default() -> Self {
+        Self {
+            name: "instance-1".to_owned(),
+            data_centre: "kolkata-a",
+            store: standins::ANY_PORT,
+            duties: None,
+            revoke_ms: 5_000,
+            bounds: String::new(),
+            log: None,
+        }
+    }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("the listener has an address")
+fn start_process(settings: &Path, log: Option<&Path>) -> Child {
+    let output = log.map_or_else(Stdio::null, |path| {
+        let file = File::options().create(true).append(true).open(path);
+        file.expect("the log can be written").into()
+    });
+    Command::new(env!("CARGO_BIN_EXE_laburnumvalve"))
+        .args(["gateway", "--settings"])
+        .arg(settings)
+        .stdout(output)
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("the program starts")
 }
 
 impl Instance {
     /// Starts an instance and waits until it is ready.
     pub async fn start(cfg: InstanceSettings) -> Self {
-        let [callers, ready, control, internal] = std::array::from_fn(|_| free_address());
-        let text = format!(
-            "node={}\nzone=kolkata-a\nlisten.front={callers}\nlisten.ready={ready}\n\
+        let addresses: [_; 4] = std::array::from_fn(|_| free_address().expect("a port is free"));
+        let [callers, ready, control, internal] = addresses;
+        let mut text = format!(
+            "node={}\nzone={}\nlisten.front={callers}\nlisten.ready={ready}\n\
              listen.control={control}\ninternal-ports={},{}\nplatform.address={}\n\
              bounds.revoke-ms={}\nbounds.grace-s=6\n",
             cfg.name,
+            cfg.data_centre,
             internal.port(),
             internal.port(),
             cfg.store,
             cfg.revoke_ms,
         );
+        if let Some(duties) = cfg.duties {
+            text.push_str(&format!("cloud.address={duties}\n"));
+        }
+        text.push_str(&cfg.bounds);
         let settings = NamedTempFile::new().expect("a file can be made");
         std::fs::write(settings.path(), text).expect("the file can be written");
-        let child = Command::new(env!("CARGO_BIN_EXE_laburnumvalve"))
-            .args(["gateway", "--settings"])
-            .arg(settings.path())
-            .stdout(Stdio::null())
-            .stderr(Stdio::inherit())
-            .spawn()
-            .expect("the program starts");
+        let child = start_process(settings.path(), cfg.log.as_deref());
         let client = reqwest::Client::builder().no_proxy().build().expect("the client is built");
-        let instance = Self { child, _settings: settings, callers, ready, client };
+        let instance = Self { child, settings, log: cfg.log, callers, ready, client };
         eventually("the instance is ready", || instance.is_ready()).await;
         instance
     }
 
+    /// Starts the process again after it ended.
+    pub fn restart(&mut self) {
+        self.child = start_process(self.settings.path(), self.log.as_deref());
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// Returns whether it takes new connections.
     pub async fn is_ready(&self) -> bool {
         let url = format!("http://{}/laburnumvalve/ready", self.ready);
@@ -74,7 +124,7 @@
         self.client
             .post(format!("http://{}{path}", self.callers))
             .header("host", "valve.example")
-            .header("x-laburnumvalve-attempt-id", "attempt-1")
+            .header("x-laburnumvalve-attempt-id", ATTEMPT)
             .header("x-laburnumvalve-deadline-ms", "4000")
             .header("x-laburnumvalve-key", key)
             .body("body")
@@ -82,8 +132,12 @@
 
     /// Tells it to stop.
     pub fn terminate(&self) {
-        let pid = Pid::from_child(&self.child);
-        kill_process(pid, Signal::TERM).expect("the process runs");
+        self.signal(Signal::TERM);
+    }
+
+    /// Sends a signal to the process, which must not have been waited for.
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).expect("the process is a child");
     }
 
     /// Returns whether the process has ended.
@@ -94,8 +148,6 @@
 
 impl Drop for Instance {
     fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -11,8 +11,9 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
@@ -35,6 +36,14 @@
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
 }
 
+/// Makes an answer whose connection breaks before its body.
+pub fn lost() -> Response<Body> {
+    let error = Err(std::io::Error::other("broken off"));
+    let mut rsp = Response::new(StreamBody::new(futures::stream::iter([error])).boxed_unsync());
+    rsp.headers_mut().insert("content-length", HeaderValue::from_static("6"));
+    rsp
+}
+
 /// Serves requests on a new loopback address.
 pub async fn serve<F, R>(handler: F) -> SocketAddr
 where
--- a/tests/gateway/support/runner.rs
+++ b/tests/gateway/support/runner.rs
@@ -1,8 +1,8 @@
 //! Stand-in of a backend server.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -12,7 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use serde_json::{Value, json};
 
-use super::{Body, full, serve};
+use super::{Body, full, lost, serve};
 
 /// Events of a whole stream.
 pub const EVENTS: u64 = 8;
@@ -38,16 +38,32 @@
     WrongAnswer,
 }
 
+/// A request that a backend server ran.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// When it began.
+    pub at: Instant,
+}
+
+impl Run {
+    /// Returns the text of a header; empty if there is none.
+    pub fn text(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|text| text.to_str().ok()).unwrap_or_default()
+    }
+}
+
 #[derive(Default)]
 struct State {
+    name: String,
     fault: Fault,
-    runs: Vec<HeaderMap>,
+    runs: Vec<Run>,
 }
 
 /// A backend server that counts what it ran.
 #[derive(Clone)]
 pub struct Runner {
-    name: String,
     state: Arc<Mutex<State>>,
     /// Where it is served.
     pub address: SocketAddr,
@@ -57,7 +73,8 @@
     /// Starts a backend server.
     pub async fn start(name: &str) -> Self {
         let unset = SocketAddr::from(([127, 0, 0, 1], 0));
-        let mut runner = Self { name: name.to_owned(), state: Arc::default(), address: unset };
+        let state = State { name: name.to_owned(), ..State::default() };
+        let mut runner = Self { state: Arc::new(Mutex::new(state)), address: unset };
         let answering = runner.clone();
         runner.address = serve(move |req| {
             let runner = answering.clone();
@@ -76,31 +93,42 @@
     }
 
     /// Returns its name.
-    pub fn name(&self) -> &str {
-        &self.name
+    pub fn name(&self) -> String {
+        self.lock().name.clone()
+    }
+
+    /// Gives it another name, as after a restart.
+    pub fn rename(&self, name: &str) {
+        self.lock().name = name.to_owned();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no test panicked")
     }
 
     /// Sets what it does wrong.
     pub fn set_fault(&self, fault: Fault) {
-        self.state.lock().expect("no test panicked").fault = fault;
+        self.lock().fault = fault;
     }
 
-    /// Returns the headers of the requests that it ran.
-    pub fn runs(&self) -> Vec<HeaderMap> {
-        self.state.lock().expect("no test panicked").runs.clone()
+    /// Returns the requests that it ran.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
         let (parts, body) = req.into_parts();
         let _ = body.collect().await;
-        let fault = self.state.lock().expect("no test panicked").fault;
-        let mut rsp = Response::new(full("served"));
+        let fault = self.lock().fault;
+        let attempt = parts.headers.get("x-laburnumvalve-attempt-id").cloned();
+        let attempt = attempt.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let mut rsp = Response::new(full(served(attempt)));
         let headers = rsp.headers_mut();
         if let Some(id) = parts.headers.get("x-laburnumvalve-attempt-id") {
             headers.insert("x-laburnumvalve-attempt-id", id.clone());
         }
         let expected = parts.headers.get("x-laburnumvalve-expect-instance");
-        if expected.is_some_and(|expected| expected != self.name.as_str()) {
+        if expected.is_some_and(|expected| expected != self.name().as_str()) {
             *rsp.status_mut() = StatusCode::MISDIRECTED_REQUEST;
             return rsp;
         }
@@ -116,49 +144,49 @@
         let path = parts.uri.path().to_owned();
         let after =
             parts.headers.get("last-event-id").and_then(|id| id.to_str().ok()?.parse().ok());
-        self.state.lock().expect("no test panicked").runs.push(parts.headers);
+        self.lock().runs.push(Run { headers: parts.headers.clone(), at: Instant::now() });
         if fault == Fault::LoseAnswerLate {
             tokio::time::sleep(LATE).await;
         }
         if matches!(fault, Fault::LoseAnswer | Fault::LoseAnswerLate) {
-            *rsp.body_mut() = broken("");
-            rsp.headers_mut().insert("content-length", HeaderValue::from_static("6"));
+            return lost();
         } else if path.starts_with("/stream/") || path.starts_with("/job/") {
-            *rsp.body_mut() = events(after.unwrap_or_default(), fault == Fault::CutStream);
+            *rsp.body_mut() = events(attempt, after.unwrap_or_default(), fault == Fault::CutStream);
         }
         rsp
     }
 }
 
-fn broken(text: &'static str) -> Body {
-    let frames = futures::stream::iter([
-        Ok(Frame::data(Bytes::from_static(text.as_bytes()))),
-        Err(std::io::Error::other("broken off")),
-    ]);
-    StreamBody::new(frames).boxed_unsync()
-}
-
-fn events(after: u64, is_cut: bool) -> Body {
+fn events(attempt: &str, after: u64, is_cut: bool) -> Body {
+    let attempt = Arc::<str>::from(attempt);
     let ids = futures::stream::iter(after + 1..=EVENTS);
-    let frames = ids.then(move |id| async move {
-        tokio::time::sleep(Duration::from_millis(40)).await;
-        if is_cut && id == 4 {
-            return Ok(Frame::data(Bytes::from_static(b"id: 4\ndata: ha")));
-        }
-        if is_cut && id > 4 {
-            return Err(std::io::Error::other("broken off"));
+    let frames = ids.then(move |id| {
+        let text = event(&attempt, id);
+        async move {
+            tokio::time::sleep(Duration::from_millis(40)).await;
+            if is_cut && id == 4 {
+                return Ok(Frame::data(Bytes::from_static(b"id: 4\ndata: ha")));
+            }
+            if is_cut && id > 4 {
+                return Err(std::io::Error::other("broken off"));
+            }
+            Ok(Frame::data(Bytes::from(text)))
         }
-        Ok(Frame::data(Bytes::from(event(id))))
     });
     StreamBody::new(frames).boxed_unsync()
 }
 
+/// Returns the body of a plain answer.
+pub fn served(attempt: &str) -> String {
+    format!("served {attempt}")
+}
+
 /// Returns the bytes of one event.
-pub fn event(id: u64) -> String {
-    format!("id: {id}\ndata: {}\n\n", id * 7)
+pub fn event(attempt: &str, id: u64) -> String {
+    format!("id: {id}\ndata: {attempt} {}\n\n", id * 7)
 }
 
 /// Returns the bytes of a whole stream.
-pub fn whole_stream() -> String {
-    (1..=EVENTS).map(event).collect()
+pub fn whole_stream(attempt: &str) -> String {
+    (1..=EVENTS).map(|id| event(attempt, id)).collect()
 }
--- a/tests/gateway/support/store.rs
+++ b/tests/gateway/support/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
-use super::{Body, full, serve};
+use super::{Body, full, lost, serve};
 
 #[derive(Default)]
 struct State {
@@ -20,6 +20,10 @@
     events: Vec<(u64, String, String, bool)>,
     /// Instances whose calls are refused, by their local address; all if empty and away.
     is_away: bool,
+    /// Whether answers to calls of the fragile address are lost.
+    is_losing: bool,
+    /// Revision up to which the history is forgotten.
+    compacted: u64,
     /// Paths of the calls that were refused.
     refused: Vec<String>,
 }
@@ -55,7 +59,8 @@
                 if store.refuses(&req) {
                     return status(StatusCode::SERVICE_UNAVAILABLE);
                 }
-                store.answer(req).await
+                let rsp = store.answer(req).await;
+                if store.lock().is_losing { lost() } else { rsp }
             }
         })
         .await;
@@ -64,12 +69,12 @@
 
     /// Refuses all calls to the fragile address, or serves them again.
     pub fn set_away(&self, is_away: bool) {
-        self.state.lock().expect("no test panicked").is_away = is_away;
+        self.lock().is_away = is_away;
         self.changed.send_modify(|count| *count += 1);
     }
 
     fn refuses(&self, req: &Request<Incoming>) -> bool {
-        let mut state = self.state.lock().expect("no test panicked");
+        let mut state = self.lock();
         if state.is_away {
             state.refused.push(req.uri().path().to_owned());
         }
@@ -78,30 +83,54 @@
 
     /// Returns the paths of the calls that were refused.
     pub fn refused(&self) -> Vec<String> {
-        self.state.lock().expect("no test panicked").refused.clone()
+        self.lock().refused.clone()
+    }
+
+    /// Carries out calls to the fragile address but loses their answers, or answers again.
+    pub fn set_losing(&self, is_losing: bool) {
+        self.lock().is_losing = is_losing;
+    }
+
+    /// Forgets the history up to now.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.compacted = state.revision;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no test panicked")
     }
 
     /// Writes an object as the operator or a backend server does.
     pub fn put(&self, kind: &str, name: &str, value: Value) -> u64 {
-        let mut state = self.state.lock().expect("no test panicked");
-        state.revision += 1;
-        let revision = state.revision;
-        state.objects.insert((kind.to_owned(), name.to_owned()), (revision, value));
-        state.events.push((revision, kind.to_owned(), name.to_owned(), false));
-        drop(state);
-        self.changed.send_modify(|count| *count += 1);
-        revision
+        self.change(kind, name, |_| Ok(Some(value))).expect("the change has no condition")
     }
 
     /// Deletes an object.
     pub fn delete(&self, kind: &str, name: &str) {
-        let mut state = self.state.lock().expect("no test panicked");
+        self.change(kind, name, |_| Ok(None)).expect("the change has no condition");
+    }
+
+    /// Changes an object, or deletes it, as `decide` says from its revision; returns the new one.
+    fn change(
+        &self,
+        kind: &str,
+        name: &str,
+        decide: impl FnOnce(Option<u64>) -> Result<Option<Value>, StatusCode>,
+    ) -> Result<u64, StatusCode> {
+        let key = (kind.to_owned(), name.to_owned());
+        let mut state = self.lock();
+        let value = decide(state.objects.get(&key).map(|(revision, _)| *revision))?;
         state.revision += 1;
         let revision = state.revision;
-        state.objects.remove(&(kind.to_owned(), name.to_owned()));
-        state.events.push((revision, kind.to_owned(), name.to_owned(), true));
+        state.events.push((revision, key.0.clone(), key.1.clone(), value.is_none()));
+        match value {
+            Some(value) => state.objects.insert(key, (revision, value)),
+            None => state.objects.remove(&key),
+        };
         drop(state);
         self.changed.send_modify(|count| *count += 1);
+        Ok(revision)
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Response<Body> {
@@ -129,7 +158,7 @@
     }
 
     fn list(&self, kind: &str) -> Response<Body> {
-        let state = self.state.lock().expect("no test panicked");
+        let state = self.lock();
         let of_kind = state.objects.iter().filter(|((of, _), _)| of == kind);
         let items: Vec<Value> =
             of_kind.map(|((_, name), (revision, value))| object(name, *revision, value)).collect();
@@ -142,6 +171,9 @@
             found.and_then(|value| value.parse().ok()).unwrap_or_default()
         };
         let (since, wait) = (field("watch="), Duration::from_millis(field("wait-ms=")));
+        if since < self.lock().compacted {
+            return status(StatusCode::GONE);
+        }
         let mut changed = self.changed.subscribe();
         let started = tokio::time::Instant::now();
         loop {
@@ -156,7 +188,7 @@
     }
 
     fn events_since(&self, kind: &str, since: u64) -> (Vec<Value>, u64) {
-        let state = self.state.lock().expect("no test panicked");
+        let state = self.lock();
         let new = state.events.iter().filter(|(at, of, ..)| *at > since && of == kind);
         let events = new.map(|(at, of, name, is_deleted)| {
             let known = state.objects.get(&(of.clone(), name.clone()));
@@ -168,7 +200,7 @@
     }
 
     fn get(&self, kind: &str, name: &str) -> Response<Body> {
-        let state = self.state.lock().expect("no test panicked");
+        let state = self.lock();
         match state.objects.get(&(kind.to_owned(), name.to_owned())) {
             Some((revision, value)) => reply(&object(name, *revision, value)),
             None => status(StatusCode::NOT_FOUND),
@@ -176,30 +208,24 @@
     }
 
     fn create(&self, kind: &str, body: &Value) -> Response<Body> {
-        let name = body["metadata"]["name"].as_str().unwrap_or_default().to_owned();
-        let exists = {
-            let state = self.state.lock().expect("no test panicked");
-            state.objects.contains_key(&(kind.to_owned(), name.clone()))
-        };
-        if exists {
-            return status(StatusCode::CONFLICT);
-        }
-        let revision = self.put(kind, &name, body["spec"].clone());
-        reply(&object(&name, revision, &body["spec"]))
+        let name = body["metadata"]["name"].as_str().unwrap_or_default();
+        let spec = &body["spec"];
+        let created = self.change(kind, name, |known| match known {
+            Some(_) => Err(StatusCode::CONFLICT),
+            None => Ok(Some(spec.clone())),
+        });
+        created.map_or_else(status, |revision| reply(&object(name, revision, spec)))
     }
 
     fn replace(&self, kind: &str, name: &str, body: &Value) -> Response<Body> {
-        let known = {
-            let state = self.state.lock().expect("no test panicked");
-            state.objects.get(&(kind.to_owned(), name.to_owned())).map(|(revision, _)| *revision)
-        };
-        let Some(known) = known else { return status(StatusCode::NOT_FOUND) };
+        let spec = &body["spec"];
         let named = body["metadata"]["revision"].as_u64();
-        if named.is_some_and(|named| named != known) {
-            return status(StatusCode::CONFLICT);
-        }
-        let revision = self.put(kind, name, body["spec"].clone());
-        reply(&object(name, revision, &body["spec"]))
+        let replaced = self.change(kind, name, |known| match known {
+            None => Err(StatusCode::NOT_FOUND),
+            Some(known) if named.is_some_and(|named| named != known) => Err(StatusCode::CONFLICT),
+            Some(_) => Ok(Some(spec.clone())),
+        });
+        replaced.map_or_else(status, |revision| reply(&object(name, revision, spec)))
     }
 }
 
