--- a/tests/gateway/support/runner.rs
+++ b/tests/gateway/support/runner.rs
@@ -122,7 +122,9 @@
         let fault = self.lock().fault;
         let attempt = parts.headers.get("x-laburnumvalve-attempt-id").cloned();
         let attempt = attempt.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
-        let mut rsp = Response::new(full(served(attempt)));
+        // The answer that goes out is that of another request.
+        let answered = if fault == Fault::WrongAnswer { "other" } else { attempt };
+        let mut rsp = Response::new(full(served(answered)));
         let headers = rsp.headers_mut();
         if let Some(id) = parts.headers.get("x-laburnumvalve-attempt-id") {
             headers.insert("x-laburnumvalve-attempt-id", id.clone());
@@ -151,7 +153,8 @@
         if matches!(fault, Fault::LoseAnswer | Fault::LoseAnswerLate) {
             return lost();
         } else if path.starts_with("/stream/") || path.starts_with("/job/") {
-            *rsp.body_mut() = events(attempt, after.unwrap_or_default(), fault == Fault::CutStream);
+            *rsp.body_mut() =
+                events(answered, after.unwrap_or_default(), fault == Fault::CutStream);
         }
         rsp
     }
