Strike off instances that are gone, and ask seeds while no instance is known

Cause: entries of instances last until they are deleted, and nothing did that; those of removed machines divided the retry budget among ever more instances and were counted as senders to cold servers. A new instance that the store turns away knew no peer; it asks the seeds of its settings.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -4,7 +4,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 
 use rand::RngExt;
 
@@ -16,7 +15,6 @@
 use crate::platform::duties::Caller;
 use crate::platform::{Collection, Object, PlatformError, Store};
 use crate::routing::cold::weight;
-use crate::routing::members::Member;
 
 /// Name of the lease.
 const LEASE: &str = "duties";
@@ -146,29 +144,3 @@
         None => store.create(Collection::Leases, LEASE, &write.record).await,
     }
 }
-
-/// Registers this instance, so that the others count it and ask it.
-pub async fn register(cx: Rc<Shared>, store: Store) {
-    let cfg = cx.cfg();
-    let name = cfg.instance.as_str();
-    let member = Member { data_centre: cfg.data_centre.clone(), address: cfg.peers };
-    loop {
-        cx.metrics.add(Counter::PlatformCalls, Collection::Instances.label(), 1);
-        let created = store.create(Collection::Instances, name, &member).await;
-        let answer = match created {
-            // An earlier process of this instance, perhaps at another address.
-            Err(PlatformError::Conflict) => {
-                store.update(Collection::Instances, name, None, &member).await
-            }
-            created => created,
-        };
-        match answer {
-            Ok(_) => return,
-            Err(error) => tracing::warn!(%error, "this instance is not registered yet"),
-        }
-        tokio::time::sleep(REGISTER_PAUSE).await;
-    }
-}
-
-/// Pause after a failed registration.
-const REGISTER_PAUSE: Duration = Duration::from_millis(700);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 pub mod peers;
 pub mod record;
 pub mod relay;
+pub mod roster;
 pub mod run;
 pub mod scaling;
 pub mod settings;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,7 +18,7 @@
 use super::state::{FOLLOWED, apply};
 use crate::clock::BootTime;
 use crate::metrics::Counter;
-use crate::names::InstanceName;
+use crate::names::{DataCentreName, InstanceName};
 use crate::platform::{Collection, http};
 use crate::routing::members::Member;
 use crate::routing::mirror::Update;
@@ -154,9 +154,10 @@
             let clone = |(name, member): (&InstanceName, &Member)| (name.clone(), member.clone());
             match members.source(now, &me, &data_centre) {
                 Some(found) => Some(clone(found)),
-                None if is_old || is_turned_away(&cx) => {
-                    members.any_other(now, &me, rand::random()).map(clone)
-                }
+                None if is_old || is_turned_away(&cx) => members
+                    .any_other(now, &me, rand::random())
+                    .map(clone)
+                    .or_else(|| any_seed(&cx, &data_centre)),
                 None => None,
             }
         };
@@ -188,6 +189,22 @@
     }
 }
 
+/// Returns a peer that the settings name, for when no instance is known.
+fn any_seed(cx: &Shared, data_centre: &DataCentreName) -> Option<(InstanceName, Member)> {
+    let cfg = cx.cfg();
+    let others: Vec<_> = cfg.seeds.iter().filter(|seed| **seed != cfg.peers).collect();
+    let address = **others.get(rand::random_range(0..others.len().max(1)))?;
+    let member = Member { data_centre: data_centre.clone(), address };
+    Some((format!("seed {address}").as_str().into(), member))
+}
+
+/// Returns whether a peer answers at all.
+pub async fn answers(client: &reqwest::Client, member: &Member) -> bool {
+    // A question without content is refused, which is an answer as well.
+    let url = format!("http://{}{PATH}", member.address);
+    client.post(url).timeout(ANSWER_MARGIN).send().await.is_ok()
+}
+
 fn set_reading(cx: &Shared, reads_store: bool) {
     let changed = cx.reads_store.send_if_modified(|reads| {
         let changed = *reads != reads_store;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,7 +12,7 @@
 use super::ingress::{self, LAST_CONNECTIONS};
 use super::settings::GatewaySettings;
 use super::shared::Shared;
-use super::{peers, scaling, status, sync, usage};
+use super::{peers, roster, scaling, status, sync, usage};
 use crate::clock::{BootTime, wall_millis};
 use crate::platform::duties::Duties;
 use crate::platform::settings::parse;
@@ -58,7 +58,10 @@
     tokio::task::spawn_local(peers::follow(cx.clone(), http::client()?));
     let duty = Rc::new(Duty::default());
     let keeping = tokio::task::spawn_local(duty::keep(cx.clone(), store.clone(), duty.clone()));
-    tokio::task::spawn_local(duty::register(cx.clone(), store.clone()));
+    tokio::task::spawn_local(roster::register(cx.clone(), store.clone(), timer.clone()));
+    let tidying =
+        roster::tidy(cx.clone(), store.clone(), duty.clone(), http::client()?, timer.clone());
+    tokio::task::spawn_local(tidying);
     tokio::task::spawn_local(usage::publish(cx.clone(), store.clone(), timer.clone()));
     if let Some(address) = cx.cfg().duties {
         let duties = Duties::new(address)?;
--- a/src/routing/members.rs
+++ b/src/routing/members.rs
@@ -55,6 +55,11 @@
         self.all.keys()
     }
 
+    /// Returns all instances.
+    pub fn all(&self) -> impl Iterator<Item = (&InstanceName, &Member)> {
+        self.all.iter()
+    }
+
     /// Returns the number of instances.
     pub fn count(&self) -> usize {
         self.all.len()
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions about requests: routes, backend servers, limits and counts. Nothing here uses the
 //! network.
 
+pub mod absence;
 pub mod budget;
 pub mod catalog;
 pub mod choose;
--- a/tests/gateway/outage.rs
+++ b/tests/gateway/outage.rs
@@ -75,6 +75,41 @@
     assert_eq!(status(&instance, "key").await, 200, "the peer proves the configuration");
 }
 
+/// Pattern: a new machine comes while the store serves only some.
+#[tokio::test]
+async fn a_new_instance_that_the_store_turns_away_learns_from_a_seed() {
+    let (store, _runner) = stand_ins().await;
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
+    let peer = Instance::start(cfg).await;
+    store.set_away(true);
+
+    let instance = Instance::start(InstanceSettings {
+        name: "instance-2".to_owned(),
+        store: store.fragile,
+        bounds: format!("seeds={}\n", peer.peers),
+        ..Default::default()
+    })
+    .await;
+
+    assert_eq!(status(&instance, "key").await, 200);
+}
+
+#[tokio::test]
+async fn an_instance_that_is_struck_off_registers_again() {
+    let (store, _runner) = stand_ins().await;
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
+    let _instance = Instance::start(cfg).await;
+    let is_listed = || async { store.has("valve-instances", "instance-1") };
+    eventually("it is registered", is_listed).await;
+
+    store.delete("valve-instances", "instance-1");
+
+    // Another one is listed, so that an empty list doesn't count as none known yet.
+    let member = json!({ "data_centre": "kolkata-a", "address": "127.0.0.1:9" });
+    store.put("valve-instances", "other", member);
+    eventually("it is registered again", is_listed).await;
+}
+
 /// Registers peers that answer with an old proof; some of them rank above any instance.
 async fn register_stale_peers(store: &StandInStore) {
     let address = serve(|_| async {
--- a/tests/gateway/support/instance.rs
+++ b/tests/gateway/support/instance.rs
@@ -21,6 +21,8 @@
     log: Option<PathBuf>,
     /// Where it accepts callers.
     pub callers: SocketAddr,
+    /// Where it accepts peers.
+    pub peers: SocketAddr,
     ready: SocketAddr,
     client: reqwest::Client,
 }
@@ -96,7 +98,8 @@
         std::fs::write(settings.path(), text).expect("the file can be written");
         let child = start_process(settings.path(), cfg.log.as_deref());
         let client = reqwest::Client::builder().no_proxy().build().expect("the client is built");
-        let instance = Self { child, settings, log: cfg.log, callers, ready, client };
+        let instance =
+            Self { child, settings, log: cfg.log, callers, peers: control, ready, client };
         eventually("the instance is ready", || instance.is_ready()).await;
         instance
     }
--- a/tests/gateway/support/store.rs
+++ b/tests/gateway/support/store.rs
@@ -106,6 +106,11 @@
         self.change(kind, name, |_| Ok(Some(value))).expect("the change has no condition")
     }
 
+    /// Returns whether there is an object.
+    pub fn has(&self, kind: &str, name: &str) -> bool {
+        self.lock().objects.contains_key(&(kind.to_owned(), name.to_owned()))
+    }
+
     /// Deletes an object.
     pub fn delete(&self, kind: &str, name: &str) {
         self.change(kind, name, |_| Ok(None)).expect("the change has no condition");
--- a/tests/routing/peers.rs
+++ b/tests/routing/peers.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use laburnumvalve::names::InstanceName;
+use laburnumvalve::routing::absence::{Absences, GONE_AFTER};
 use laburnumvalve::routing::members::{Member, Members};
 use laburnumvalve::routing::mirror::{Item, Mirror, Update};
 use proptest::prelude::*;
@@ -43,6 +44,21 @@
     assert_eq!(names(&mirror), ["a"]);
 }
 
+/// Pattern: machines are replaced for good, while others are only away for a while.
+#[test]
+fn an_instance_that_never_answers_counts_as_gone_after_a_while() {
+    let start = Instant::now();
+    let mut absences = Absences::default();
+    let (gone, away) = ("gone".into(), "away".into());
+    let half = start + GONE_AFTER / 2;
+
+    assert!(!absences.note(start, &gone, false) && !absences.note(start, &away, false));
+    assert!(!absences.note(half, &gone, false) && !absences.note(half, &away, true));
+
+    assert!(absences.note(start + GONE_AFTER, &gone, false));
+    assert!(!absences.note(start + GONE_AFTER, &away, false));
+}
+
 #[test]
 fn changes_alone_do_not_fill_an_empty_copy() {
     let mut mirror = Mirror::default();
