Wait for held-back counts before a window is fixed after an outage of the store

It waits 1.7 s, or until just before the report is due. The test's third case fails without the wait.

--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -70,6 +70,8 @@
     pub store_fails: Cell<bool>,
     /// Whether several calls for the configuration failed in a row; it alone is called for then.
     pub store_is_away: watch::Sender<bool>,
+    /// When the store last came back.
+    pub store_returned_at: Cell<Option<BootTime>>,
     /// When the store last told of backend servers, directly or through a peer.
     registry_told_at: Cell<Option<BootTime>>,
     budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
@@ -99,6 +101,7 @@
             connections: Cell::new(0),
             store_fails: Cell::new(false),
             store_is_away: watch::Sender::new(false),
+            store_returned_at: Cell::new(None),
             registry_told_at: Cell::new(None),
             budgets: RefCell::default(),
             mix: RefCell::default(),
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -129,7 +129,10 @@
         self.failures = if error.is_some() { self.failures + 1 } else { 0 };
         if self.of == Collection::Configs {
             self.cx.store_fails.set(error.is_some());
-            self.cx.store_is_away.send_replace(self.failures >= AWAY_AFTER);
+            let was_away = self.cx.store_is_away.send_replace(self.failures >= AWAY_AFTER);
+            if was_away && error.is_none() {
+                self.cx.store_returned_at.set(Some(BootTime::now()));
+            }
         }
         if self.of == Collection::Servers {
             self.cx.note_registry(error.is_none());
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -14,7 +14,7 @@
 use crate::platform::duties::Duties;
 use crate::platform::store::Stored;
 use crate::platform::{Collection, PlatformError, Store};
-use crate::routing::windows::{Counts, Tallies};
+use crate::routing::windows::{Counts, Tallies, may_fix};
 use crate::timer::Timer;
 
 /// Period at which an instance publishes its counts if they changed.
@@ -23,9 +23,6 @@
 const PUBLISH_PERIOD: Duration = Duration::from_millis(1_000);
 /// Period at which the holder looks for ended windows.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
-/// Time after the end of a window in which its counts arrive in the store: a publishing period,
-/// a slow call and clocks that differ.
-const SETTLE: Duration = Duration::from_millis(2_800);
 /// Counts of processes that are gone, deleted at most for each window.
 const MAX_FORGOTTEN: usize = 4;
 /// Windows after which a seal, and the counts of a process that is gone, are deleted.
@@ -106,9 +103,14 @@
     let cfg = cx.cfg();
     let length = cfg.usage_window.as_millis().max(1) as u64;
     let now = cx.time.borrow().millis(BootTime::now());
-    let settled = now.saturating_sub(SETTLE.as_millis() as u64) / length;
+    let since_return = cx.store_returned_at.get().map(|at| BootTime::now().since(at));
+    let may_fix = |window: &u64| {
+        let since_end = Duration::from_millis(now.saturating_sub((window + 1) * length));
+        may_fix(since_end, cfg.usage_due, since_return)
+    };
     let oldest = now.saturating_sub((cfg.usage_due + cfg.usage_window).as_millis() as u64) / length;
-    (oldest..settled).filter(|window| !reported.contains(window)).collect()
+    let open = (oldest..now / length).filter(|window| !reported.contains(window));
+    open.filter(may_fix).collect()
 }
 
 async fn report_window(
--- a/src/routing/windows.rs
+++ b/src/routing/windows.rs
@@ -11,6 +11,24 @@
 /// Difference between the time of day and the steady clock that counts as a step, not as drift.
 const MAX_DRIFT: Duration = Duration::from_millis(150);
 
+/// Time after the end of a window in which its counts arrive in the store: a publishing period of
+/// a second, a slow call and clocks that differ.
+const SETTLE: Duration = Duration::from_millis(2_800);
+/// Time after the return of the store in which counts that were held back arrive there: a
+/// publishing period and a call, for an instance that notices the return half a second later.
+const SETTLE_AFTER_RETURN: Duration = Duration::from_millis(1_700);
+/// Time before a report is due at which the counts are fixed as they are: two calls.
+const DUE_MARGIN: Duration = Duration::from_millis(800);
+
+/// Returns whether the counts of a window may be fixed.
+///
+/// `since_end` is the time since the window's end, `due` the time after its end at which its
+/// report is due, and `since_return` the time since the store came back from an outage.
+pub fn may_fix(since_end: Duration, due: Duration, since_return: Option<Duration>) -> bool {
+    let has_settled = since_return.is_none_or(|since| since >= SETTLE_AFTER_RETURN);
+    since_end >= SETTLE && (has_settled || since_end + DUE_MARGIN >= due)
+}
+
 /// Requests that began to run, by organisation.
 pub type Counts = BTreeMap<OrganisationName, u64>;
 
--- a/tests/routing/usage.rs
+++ b/tests/routing/usage.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use laburnumvalve::clock::BootTime;
-use laburnumvalve::routing::windows::{Tallies, TrueTime};
+use laburnumvalve::routing::windows::{Tallies, TrueTime, may_fix};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rstest::rstest;
 
 /// Seed of the drawn cases.
 const SEED: u64 = 20_261_207;
@@ -50,6 +51,26 @@
     assert_eq!(merged.add_up(3).values().sum::<u64>(), 2);
 }
 
+/// Pattern: the store returns after an outage, and all instances publish what they held back.
+#[rstest]
+#[case::settled(2_800, None, true)]
+#[case::too_early(2_700, None, false)]
+#[case::just_returned(6_000, Some(200), false)]
+#[case::returned_and_settled(6_000, Some(1_700), true)]
+#[case::just_returned_and_due(9_200, Some(200), true)]
+fn counts_of_a_window_are_fixed_when_those_of_all_instances_have_arrived(
+    #[case] since_end_ms: u64,
+    #[case] since_return_ms: Option<u64>,
+    #[case] may: bool,
+) {
+    let since_return = since_return_ms.map(Duration::from_millis);
+
+    let decided =
+        may_fix(Duration::from_millis(since_end_ms), Duration::from_secs(10), since_return);
+
+    assert_eq!(decided, may);
+}
+
 #[test]
 fn old_windows_are_forgotten() {
     let mut tallies = Tallies::default();
