Ignore news of a backend server from before its removal

Removals were taken before all changes, so the change brought the removed server back; it got requests until the next news of it. Both new tests failed before.

--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -69,7 +69,7 @@
             Err(why) => {
                 let server = &item.name;
                 tracing::info!(server, revision = item.revision, why, "server is out of use");
-                fleet.remove(now, &item.name.as_str().into());
+                fleet.remove(now, item.revision, &item.name.as_str().into());
             }
         }
     }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -50,8 +50,8 @@
     pub revision: u64,
     /// Until when it counts as cold.
     pub cold_until: Option<Instant>,
-    /// When it was removed while the registry failed; none while it is listed.
-    missing_since: Option<Instant>,
+    /// Its removal while the registry failed; none while it is listed.
+    missing: Option<Gone>,
     /// Since when it is about to leave.
     draining_since: Option<Instant>,
 }
@@ -63,14 +63,23 @@
     }
 }
 
+/// A removed entry.
+#[derive(Debug, Clone, Copy)]
+struct Gone {
+    /// Since when the backend server is about to leave.
+    since: Instant,
+    /// Revision of the removal; older news of the entry come too late.
+    revision: u64,
+}
+
 /// All known backend servers and the data centres that are taken out.
 #[derive(Debug, Default)]
 pub struct Fleet {
     servers: HashMap<BackendServerName, Server>,
     /// Who has an address by the latest entry; a former holder's process is gone.
     holders: HashMap<SocketAddr, BackendServerName>,
-    /// When entries were removed; those backend servers serve on for a while.
-    gone: HashMap<BackendServerName, Instant>,
+    /// Entries that were removed; those backend servers serve on for a while.
+    gone: HashMap<BackendServerName, Gone>,
     out: HashSet<DataCentreName>,
     failing: bool,
     returned_at: Option<Instant>,
@@ -87,7 +96,7 @@
         let gone: Vec<_> =
             self.servers.keys().filter(|name| !names.contains(*name)).cloned().collect();
         for name in gone {
-            self.remove(now, &name);
+            self.remove(now, revision, &name);
         }
         for (revision, entry) in listed {
             self.put(now, revision, entry);
@@ -95,10 +104,15 @@
         self.revision = revision;
     }
 
-    /// Takes one new or changed entry; older revisions than the known one are ignored.
+    /// Takes one new or changed entry; older revisions than the known one, or than its removal,
+    /// are ignored.
     pub fn put(&mut self, now: Instant, revision: u64, entry: Registration) {
         let known = self.servers.get(&entry.name);
-        if known.is_some_and(|known| known.revision > revision) {
+        let removed = self.gone.get(&entry.name);
+        let removed = removed.or_else(|| known.and_then(|known| known.missing.as_ref()));
+        if known.is_some_and(|known| known.revision > revision)
+            || removed.is_some_and(|gone| gone.revision > revision)
+        {
             return;
         }
         let unchanged = known.is_some_and(|known| known.revision == revision);
@@ -110,24 +124,24 @@
             entry.is_draining.then(|| known.and_then(|known| known.draining_since).unwrap_or(now));
         self.gone.remove(&entry.name);
         self.take_address(revision, &entry);
-        let server = Server { revision, cold_until, missing_since: None, draining_since, entry };
+        let server = Server { revision, cold_until, missing: None, draining_since, entry };
         self.servers.insert(server.entry.name.clone(), server);
     }
 
-    /// Takes note that an entry is gone or can't be used.
+    /// Takes note that an entry is gone or can't be used, as of a revision of the registry.
     ///
     /// While the registry fails, and shortly after, entries also lapse without cause; these stay
     /// in use until [`Fleet::sweep`] drops them.
-    pub fn remove(&mut self, now: Instant, name: &BackendServerName) {
+    pub fn remove(&mut self, now: Instant, revision: u64, name: &BackendServerName) {
         if !self.lapses_without_cause(now) {
             let known = self.servers.remove(name);
             if let Some(known) = &known {
                 self.release_address(known);
             }
             let since = known.map(|known| known.draining_since.unwrap_or(now));
-            self.gone.extend(since.map(|since| (name.clone(), since)));
+            self.gone.extend(since.map(|since| (name.clone(), Gone { since, revision })));
         } else if let Some(server) = self.servers.get_mut(name) {
-            server.missing_since.get_or_insert(now);
+            server.missing.get_or_insert(Gone { since: now, revision });
         }
     }
 
@@ -142,11 +156,11 @@
     /// Drops entries that are still missing a while after the registry returned.
     pub fn sweep(&mut self, now: Instant) {
         if !self.lapses_without_cause(now) {
-            let missing = self.servers.extract_if(|_, server| server.missing_since.is_some());
+            let missing = self.servers.extract_if(|_, server| server.missing.is_some());
             let missing: Vec<Server> = missing.map(|(_, server)| server).collect();
             missing.iter().for_each(|server| self.release_address(server));
         }
-        self.gone.retain(|_, since| now.duration_since(*since) < GONE_KEPT);
+        self.gone.retain(|_, gone| now.duration_since(gone.since) < GONE_KEPT);
     }
 
     /// Sets the data centres that are taken out; those that return are cold for a while.
@@ -187,7 +201,7 @@
     /// Returns since when a backend server is about to leave; none if it isn't.
     pub fn leaving_since(&self, name: &BackendServerName) -> Option<Instant> {
         let draining = self.servers.get(name).and_then(|server| server.draining_since);
-        draining.or_else(|| self.gone.get(name).copied())
+        draining.or_else(|| self.gone.get(name).map(|gone| gone.since))
     }
 
     /// Returns all known backend servers.
--- a/tests/gateway/outage.rs
+++ b/tests/gateway/outage.rs
@@ -145,6 +145,26 @@
     }
 }
 
+/// Pattern: an entry changes and goes before the next call for news, which brings both.
+#[tokio::test]
+async fn a_server_that_changed_and_was_removed_in_one_answer_stays_out_of_use() {
+    let (store, runner) = stand_ins().await;
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
+    let instance = Instance::start(cfg).await;
+    let mut entry = runner.entry();
+    // The news of the first change ends the waiting call; the next one comes half a second later.
+    for sequence in 2..4 {
+        entry["sequence"] = sequence.into();
+        store.put("servers", &runner.name(), entry.clone());
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+
+    store.delete("servers", &runner.name());
+
+    tokio::time::sleep(std::time::Duration::from_millis(900)).await;
+    assert_eq!(status(&instance, "key").await, 503);
+}
+
 /// A store that turns one instance away is no outage, in which entries lapse without cause.
 #[tokio::test]
 async fn a_removed_server_is_out_of_use_at_once_at_an_instance_that_is_turned_away() {
--- a/tests/gateway/support/store.rs
+++ b/tests/gateway/support/store.rs
@@ -17,7 +17,8 @@
 struct State {
     revision: u64,
     objects: BTreeMap<(String, String), (u64, Value)>,
-    events: Vec<(u64, String, String, bool)>,
+    /// Changes: revision, kind, name, and the value unless it was deleted.
+    events: Vec<(u64, String, String, Option<Value>)>,
     /// Instances whose calls are refused, by their local address; all if empty and away.
     is_away: bool,
     /// Whether answers to calls of the fragile address are lost.
@@ -128,7 +129,7 @@
         let value = decide(state.objects.get(&key).map(|(revision, _)| *revision))?;
         state.revision += 1;
         let revision = state.revision;
-        state.events.push((revision, key.0.clone(), key.1.clone(), value.is_none()));
+        state.events.push((revision, key.0.clone(), key.1.clone(), value.clone()));
         match value {
             Some(value) => state.objects.insert(key, (revision, value)),
             None => state.objects.remove(&key),
@@ -195,11 +196,9 @@
     fn events_since(&self, kind: &str, since: u64) -> (Vec<Value>, u64) {
         let state = self.lock();
         let new = state.events.iter().filter(|(at, of, ..)| *at > since && of == kind);
-        let events = new.map(|(at, of, name, is_deleted)| {
-            let known = state.objects.get(&(of.clone(), name.clone()));
-            let value = known.map_or(Value::Null, |(_, value)| value.clone());
-            let revision = known.map_or(*at, |(revision, _)| *revision);
-            json!({ "deleted": is_deleted, "object": object(name, revision, &value) })
+        let events = new.map(|(at, _, name, value)| {
+            let spec = value.as_ref().unwrap_or(&Value::Null);
+            json!({ "deleted": value.is_none(), "object": object(name, *at, spec) })
         });
         (events.collect(), state.revision)
     }
--- a/tests/routing/fleet.rs
+++ b/tests/routing/fleet.rs
@@ -5,6 +5,8 @@
 
 use laburnumvalve::routing::fleet::{Fleet, RETURN_GRACE, Registration};
 
+use rstest::rstest;
+
 use crate::support::{entry, fleet, usable};
 
 fn at(start: Instant, ms: u64) -> Instant {
@@ -33,12 +35,28 @@
     assert!(usable(&fleet).is_empty());
 }
 
+#[rstest]
+#[case::registry_answers(true)]
+#[case::registry_is_away(false)]
+fn news_from_before_a_removal_does_not_undo_it(#[case] answers: bool) {
+    let now = Instant::now();
+    let mut fleet = fleet(now, &["a"], 1);
+    fleet.note_registry(now, answers);
+    fleet.remove(now, 9, &"a-0".into());
+
+    fleet.put(now, 8, entry("a-0", "a"));
+    fleet.note_registry(now, true);
+    fleet.sweep(now + RETURN_GRACE);
+
+    assert!(usable(&fleet).is_empty());
+}
+
 #[test]
 fn a_removed_entry_is_out_of_use_at_once_while_the_registry_answers() {
     let now = Instant::now();
     let mut fleet = fleet(now, &["a"], 2);
 
-    fleet.remove(now, &"a-0".into());
+    fleet.remove(now, 2, &"a-0".into());
 
     assert_eq!(usable(&fleet).len(), 1);
     assert!(fleet.leaving_since(&"a-0".into()).is_some());
@@ -78,7 +96,7 @@
 
     fleet.put(now, 2, at_one("former", 1_000));
     assert_eq!(usable(&fleet)[0].entry.name, "new".into());
-    fleet.remove(now, &"new".into());
+    fleet.remove(now, 2, &"new".into());
     fleet.put(now, 3, at_one("former", 1_000));
 
     assert_eq!(usable(&fleet)[0].entry.name, "former".into());
@@ -106,7 +124,7 @@
     let start = Instant::now();
     let mut fleet = fleet(start, &["a"], 1);
     fleet.note_registry(start, false);
-    fleet.remove(start, &"a-0".into());
+    fleet.remove(start, 2, &"a-0".into());
     fleet.note_registry(at(start, 1_000), true);
 
     fleet.put(at(start, 2_000), 9, entry("a-0", "a"));
