--- a/tests/gateway/soak/faults.rs
+++ b/tests/gateway/soak/faults.rs
@@ -45,6 +45,7 @@
     StoreLosing,
     StoreCompact,
     ServerFails(ServerFault),
+    AllLoseAnswers,
     ServerSilent,
     ServerCut,
     ServerRestart,
@@ -55,7 +56,7 @@
     DataCentreOut,
 }
 
-const FAULTS: [Fault; 23] = [
+const FAULTS: [Fault; 24] = [
     Fault::Kill,
     Fault::Terminate,
     Fault::Freeze,
@@ -71,6 +72,7 @@
     Fault::ServerFails(ServerFault::LoseAnswer),
     Fault::ServerFails(ServerFault::CutStream),
     Fault::ServerFails(ServerFault::WrongAnswer),
+    Fault::AllLoseAnswers,
     Fault::ServerSilent,
     Fault::ServerCut,
     Fault::ServerRestart,
@@ -162,6 +164,12 @@
                 tokio::time::sleep(step.lasts).await;
                 server.runner.set_fault(ServerFault::None);
             }
+            Fault::AllLoseAnswers => {
+                let set = |fault| self.servers.iter().for_each(|s| s.runner.set_fault(fault));
+                set(ServerFault::LoseAnswer);
+                tokio::time::sleep(step.lasts).await;
+                set(ServerFault::None);
+            }
             Fault::ServerSilent => {
                 server.way.freeze(Direction::Both);
                 tokio::time::sleep(step.lasts).await;
