Keep no more idle connections than an instance's share of what a server accepts

Cause: each instance kept up to 16 idle connections to a server; 83 instances together more than the 370 that an engine accepts, which resets what is beyond. The number of connections that a server accepts was decoded but not used.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -120,7 +120,7 @@
     pub fn finish(mut self, verdict: Verdict) {
         self.cx.note_verdict(&self.job.service, &self.server, verdict);
         if let Some(link) = self.link.take() {
-            self.cx.links.keep(&self.server, link);
+            self.cx.keep_link(&self.job.service, &self.server, link);
         }
     }
 
--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -27,8 +27,11 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Time before a backend server's own idle timeout at which a connection is dropped.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
-/// Idle connections kept to one backend server.
+/// Idle connections kept to one backend server at most.
 const MAX_IDLE: usize = 16;
+/// Part of the connections that a backend server accepts which idle ones of all instances may
+/// take; the rest is for requests.
+const IDLE_SHARE: f64 = 0.5;
 
 /// Ends the task of a connection, which closes its socket at once.
 #[derive(Debug)]
@@ -91,6 +94,13 @@
     seconds.trim().parse().ok().map(Duration::from_secs)
 }
 
+/// Returns how many idle connections one instance may keep to a backend server that accepts
+/// `max_connections` from all of them.
+pub fn most_idle(max_connections: u32, instances: usize) -> usize {
+    let share = f64::from(max_connections) * IDLE_SHARE / instances.max(1) as f64;
+    (share as usize).clamp(1, MAX_IDLE)
+}
+
 /// Idle connections, by backend server.
 #[derive(Debug, Default)]
 pub struct Links {
@@ -126,8 +136,8 @@
         None
     }
 
-    /// Keeps a connection whose last answer was read to its end.
-    pub fn keep(&self, server: &BackendServerName, mut link: Link) {
+    /// Keeps a connection whose last answer was read to its end, if fewer than `most` are idle.
+    pub fn keep(&self, server: &BackendServerName, mut link: Link, most: usize) {
         if link.tx.is_closed() {
             return;
         }
@@ -135,7 +145,7 @@
         link.is_reused = true;
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(server.clone()).or_default();
-        if links.len() < MAX_IDLE {
+        if links.len() < most {
             links.push(link);
         }
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -275,7 +275,7 @@
             let (parts, body) = link.send(req).await?.into_parts();
             let body =
                 body.collect().await.map_err(|error| LinkError::Broken(error.to_string()))?;
-            self.cx.links.keep(from, link);
+            self.cx.keep_link(&self.job.service, from, link);
             Ok((parts.status, body.to_bytes()))
         };
         let answer: Result<_, LinkError> = tokio::time::timeout(MOVE_TIMEOUT, call)
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::watch;
 
-use super::links::Links;
+use super::links::{Link, Links, most_idle};
 use super::settings::GatewaySettings;
 use crate::clock::{BootTime, wall_millis};
 use crate::metrics::Metrics;
@@ -235,6 +235,12 @@
         }
     }
 
+    /// Keeps a connection to a backend server for further requests, within this instance's share.
+    pub fn keep_link(&self, service: &Service, server: &BackendServerName, link: Link) {
+        let most = most_idle(service.max_connections, self.instance_count());
+        self.links.keep(server, link, most);
+    }
+
     /// Takes the verdict on a request; a backend server that is left out returns as a cold one.
     pub fn note_verdict(&self, service: &Service, server: &BackendServerName, verdict: Verdict) {
         let now = Instant::now();
--- a/tests/routing/limits.rs
+++ b/tests/routing/limits.rs
@@ -3,12 +3,14 @@
 use std::time::{Duration, Instant};
 
 use laburnumvalve::clock::BootTime;
+use laburnumvalve::gateway::links::most_idle;
 use laburnumvalve::names::InstanceName;
 use laburnumvalve::routing::budget::{RetryBudget, RetryBudgetSettings};
 use laburnumvalve::routing::cold::{COLD_SENDERS, ColdSends, ColdSettings, may_send_cold};
 use laburnumvalve::routing::proof::Proof;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rstest::rstest;
 
 /// Seed of the drawn cases.
 const SEED: u64 = 20_261_205;
@@ -127,3 +129,16 @@
 
     assert_eq!(proof.age(start), Some(Duration::ZERO));
 }
+
+/// Pattern: many instances keep connections to the same server, which accepts a few hundred.
+#[rstest]
+#[case::few_instances(370, 9, 16)]
+#[case::many_instances(370, 83, 2)]
+#[case::more_instances_than_connections(100, 340, 1)]
+fn idle_connections_of_all_instances_leave_room_for_requests(
+    #[case] max_connections: u32,
+    #[case] instances: usize,
+    #[case] most: usize,
+) {
+    assert_eq!(most_idle(max_connections, instances), most);
+}
