--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -239,7 +239,11 @@
         value: &T,
     ) -> Result<String, PlatformError> {
         let mut metadata = json!({ "name": name });
-        if let Some(revision) = known.and_then(|known| known.parse::<u64>().ok()) {
+        if let Some(known) = known {
+            // Without it the store would replace whatever is there.
+            let revision = known.parse::<u64>().map_err(|error| {
+                PlatformError::Malformed(format!("version \"{known}\" of {name}: {error}"))
+            })?;
             metadata["revision"] = revision.into();
         }
         let body = json!({ "metadata": metadata, "spec": value });
