--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -8,7 +8,6 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::names::ModelName;
 use crate::routing::catalog::{
     CallerLimits, Catalog, CatalogParts, Organisation, Repeat, Route, Scaling, Service, Share,
 };
@@ -59,7 +58,6 @@
 #[serde(rename_all = "kebab-case")]
 struct WireService {
     name: String,
-    health_path: Option<String>,
     max_connections: Option<f64>,
     cold_start_s: Option<f64>,
     cold_per_s: Option<f64>,
@@ -67,12 +65,9 @@
     scaling: Option<WireScaling>,
 }
 
+/// Present for services whose servers are model engines.
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct WireEngine {
-    #[serde(default)]
-    kv_tokens: f64,
-}
+struct WireEngine {}
 
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -115,13 +110,6 @@
     born: Option<u64>,
     #[serde(default)]
     spot: bool,
-    #[serde(default)]
-    models: Vec<WireModel>,
-}
-
-#[derive(Deserialize)]
-struct WireModel {
-    name: String,
 }
 
 fn millis(ms: f64) -> Duration {
@@ -189,12 +177,10 @@
 fn open_service(wire: WireService) -> Service {
     Service {
         name: wire.name.into(),
-        health_path: wire.health_path.unwrap_or_default().into(),
         max_connections: wire.max_connections.unwrap_or(100.0) as u32,
         cold_start: seconds(wire.cold_start_s.unwrap_or_default()),
         cold_per_s: wire.cold_per_s.unwrap_or_default(),
         is_engine: wire.engine.is_some(),
-        kv_tokens: wire.engine.map_or(0, |engine| engine.kv_tokens as u64),
         scaling: wire.scaling.map(|scaling| Scaling {
             min: scaling.min as u32,
             max: scaling.max as u32,
@@ -232,6 +218,5 @@
         cold_for: millis(wire.cold_remaining_ms.unwrap_or_default()),
         born: wire.born,
         is_spot: wire.spot,
-        models: wire.models.into_iter().map(|model| ModelName::from(model.name)).collect(),
     })
 }
--- a/src/routing/catalog.rs
+++ b/src/routing/catalog.rs
@@ -108,8 +108,6 @@
 pub struct Service {
     /// Its name.
     pub name: ServiceName,
-    /// Path of its health check.
-    pub health_path: Arc<str>,
     /// Connections that each backend server accepts from all instances.
     pub max_connections: u32,
     /// How long a backend server stays cold after its start.
@@ -118,8 +116,6 @@
     pub cold_per_s: f64,
     /// Whether its backend servers are model engines.
     pub is_engine: bool,
-    /// Tokens that the memory of one engine holds; 0 if it isn't one.
-    pub kv_tokens: u64,
     /// Bounds for ordering backend servers; none if they are not ordered.
     pub scaling: Option<Scaling>,
 }
--- a/src/routing/choose.rs
+++ b/src/routing/choose.rs
@@ -149,10 +149,11 @@
         // The first of each data centre come before the second ones.
         let mut ranked = Vec::with_capacity(servers.len());
         for names in by_centre.values_mut() {
-            names.sort_by_key(|name| Reverse(weight(name.as_str(), SHORT_ITEM)));
+            names.sort_by_cached_key(|name| Reverse(weight(name.as_str(), SHORT_ITEM)));
             ranked.extend(names.iter().enumerate().map(|(rank, name)| (rank, *name)));
         }
-        ranked.sort_by_key(|(rank, name)| (*rank, Reverse(weight(name.as_str(), SHORT_ITEM))));
+        ranked
+            .sort_by_cached_key(|(rank, name)| (*rank, Reverse(weight(name.as_str(), SHORT_ITEM))));
         let count = match servers.len() {
             0 | 1 => 0,
             all => ((all as f64 * cfg.short_share).ceil() as usize).min(all - 1),
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::names::{BackendServerName, DataCentreName, ModelName};
+use crate::names::{BackendServerName, DataCentreName};
 use crate::routing::catalog::ServiceName;
 
 /// How long an entry that was removed while the registry failed stays in use after its return.
@@ -37,8 +37,6 @@
     pub born: Option<u64>,
     /// Whether it may be reclaimed at short notice.
     pub is_spot: bool,
-    /// Models that it serves; empty if it does not say.
-    pub models: Vec<ModelName>,
 }
 
 /// A registered backend server with what this instance knows of its entry.
--- a/tests/routing/support.rs
+++ b/tests/routing/support.rs
@@ -18,7 +18,6 @@
         cold_for: Duration::ZERO,
         born: None,
         is_spot: false,
-        models: Vec::new(),
     }
 }
 
