--- /dev/null
+++ b/benches/choice.rs
@@ -0,0 +1,42 @@
+//! Time of the choice of an engine, by the number of engines.
+//!
+//! `cargo bench --bench choice` prints the mean over many choices for long and short prompts.
+
+#![allow(dead_code, missing_docs)]
+
+#[path = "../tests/routing/support.rs"]
+mod support;
+
+use std::time::Instant;
+
+use laburnumvalve::routing::choose::{ChoiceSettings, choose};
+use laburnumvalve::routing::fleet::Server;
+use laburnumvalve::routing::load::Loads;
+use support::{fleet, long_prompt, short_prompt, usable};
+
+/// Engines of a site, of the same site grown, and at the size of the aim.
+const SIZES: [usize; 4] = [9, 60, 140, 1_500];
+/// Choices for each row.
+const CHOICES: u64 = 2_000;
+
+fn main() {
+    println!("| engines | mean time of a choice, us |");
+    println!("|---|---|");
+    for size in SIZES {
+        println!("| {size} | {:.1} |", measure(size));
+    }
+}
+
+fn measure(size: usize) -> f64 {
+    let now = Instant::now();
+    let servers = usable(&fleet(now, &["a", "b", "c"], size / 3));
+    let servers: Vec<&Server> = servers.iter().collect();
+    let (cfg, loads) = (ChoiceSettings::default(), Loads::default());
+    let started = Instant::now();
+    for number in 0..CHOICES {
+        let demand = if number % 2 == 0 { long_prompt(number) } else { short_prompt(number) };
+        let choice = choose(now, &cfg, &"a".into(), &demand, &servers, &loads);
+        std::hint::black_box(choice);
+    }
+    started.elapsed().as_secs_f64() * 1e6 / CHOICES as f64
+}
