Serve gauges of what an instance knows, failed calls and gaps between events as metrics

On-call engineers saw counts of requests and calls only: neither the age of the configuration's proof, nor servers by state, what is left of the retry budget, who holds the duties, or dropped log lines.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -105,6 +105,9 @@
             LeaseCall::Read => {
                 let answer = read(store).await;
                 let failed = answer.is_err();
+                if failed {
+                    cx.metrics.add(Counter::PlatformFailures, "lease", 1);
+                }
                 claimant.on_read(BootTime::now(), answer);
                 if failed {
                     break;
@@ -125,6 +128,7 @@
     if before != held.map(|tenancy| tenancy.epoch) {
         tracing::info!(former = before, epoch = held.map(|t| t.epoch), "lease of the duties");
     }
+    cx.metrics.set("lease_epoch_held", LEASE, held.map_or(0, |tenancy| tenancy.epoch));
     duty.held.set(held.map(|tenancy| (tenancy.epoch, tenancy.until)));
 }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::stream::{self, StreamExt};
@@ -20,7 +20,7 @@
 use super::links::LinkError;
 use super::record::Record;
 use super::shared::Shared;
-use crate::metrics::Counter;
+use crate::metrics::{Counter, Timing};
 use crate::names::BackendServerName;
 use crate::platform::engine::{self, MovedMemory};
 use crate::platform::headers;
@@ -52,6 +52,8 @@
     last_event: Option<u64>,
     tried: Vec<BackendServerName>,
     attempts: u32,
+    /// When events were last passed on.
+    passed_at: Instant,
     /// Events that were read but not passed on yet.
     pending: Option<Bytes>,
     /// Whether the stream ended, properly or not.
@@ -96,6 +98,7 @@
         last_event: job.head.last_event,
         tried,
         attempts,
+        passed_at: Instant::now(),
         pending: None,
         is_finished: false,
         move_after: rand::rng().random_range(MOVE_AFTER[0]..MOVE_AFTER[1]),
@@ -104,12 +107,13 @@
     let first = relay.first().await?;
     record.first();
     record.ended("the stream was broken off", parts.status.as_u16());
+    relay.passed_at = Instant::now();
     let head = stream::once(async move { Ok(first) });
-    let rest =
-        stream::unfold(
-            relay,
-            |mut relay| async move { relay.next().await.map(|item| (item, relay)) },
-        );
+    let rest = stream::unfold(relay, |mut relay| async move {
+        let item = relay.next().await?;
+        relay.note_gap();
+        Some((item, relay))
+    });
     let frames = head.chain(rest).map(|item: Result<Bytes, BrokenBody>| item.map(Frame::data));
     let body: ReplyBody = Box::pin(StreamBody::new(frames));
     Ok(Response::from_parts(parts, body))
@@ -145,6 +149,11 @@
         }
     }
 
+    fn note_gap(&mut self) {
+        let gap = std::mem::replace(&mut self.passed_at, Instant::now()).elapsed();
+        self.cx.metrics.time(Timing::TokenGap, self.job.route.name.as_str(), gap);
+    }
+
     /// Returns the next events; none after the proper end.
     async fn next(&mut self) -> Option<Result<Bytes, BrokenBody>> {
         let mut waited = Duration::ZERO;
--- a/src/gateway/scaling.rs
+++ b/src/gateway/scaling.rs
@@ -98,6 +98,7 @@
     if let Err(error) = answer
         && error != PlatformError::Conflict
     {
+        cx.metrics.add(Counter::PlatformFailures, "orders", 1);
         tracing::warn!(?order, %error, "order of backend servers failed");
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -187,6 +187,17 @@
         budgets.entry(service.clone()).or_default().take(Instant::now(), count, &cfg.budget)
     }
 
+    /// Returns the repeats that this instance may still make now, by service.
+    pub fn repeats_left(&self) -> Vec<(ServiceName, u64)> {
+        let (now, cfg, count) = (Instant::now(), self.cfg(), self.instance_count());
+        let mut budgets = self.budgets.borrow_mut();
+        let left = budgets.iter_mut().map(|(name, budget)| {
+            let left = budget.left(now, count, &cfg.budget);
+            (name.clone(), left)
+        });
+        left.collect()
+    }
+
     /// Chooses a backend server among those that were not tried.
     pub fn choose(
         &self,
--- a/src/gateway/status.rs
+++ b/src/gateway/status.rs
@@ -7,8 +7,8 @@
 use tokio::net::TcpListener;
 
 use super::body::{ReplyBody, whole};
-use super::listen;
 use super::shared::Shared;
+use super::{gauges, listen};
 use crate::platform::READY_PATH;
 
 /// Path of the metrics.
@@ -23,7 +23,10 @@
     let (status, text) = match req.uri().path() {
         READY_PATH if cx.is_ready() => (StatusCode::OK, String::new()),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
-        METRICS_PATH => (StatusCode::OK, cx.metrics.render()),
+        METRICS_PATH => {
+            gauges::set(cx);
+            (StatusCode::OK, cx.metrics.render())
+        }
         _ => (StatusCode::NOT_FOUND, String::new()),
     };
     let mut rsp = Response::new(whole(text));
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -117,6 +117,9 @@
 
     fn note_answer(&mut self, error: Option<&PlatformError>) {
         let of = self.of.label();
+        if error.is_some() {
+            self.cx.metrics.add(Counter::PlatformFailures, of, 1);
+        }
         match error {
             Some(error) if self.failures == 0 => {
                 tracing::warn!(of, %error, "the platform's store does not serve this instance");
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -70,7 +70,10 @@
             }
             // A create whose answer was lost took effect.
             Err(PlatformError::Conflict) => self.exists = true,
-            Err(error) => tracing::warn!(%error, "counts of requests are not published"),
+            Err(error) => {
+                cx.metrics.add(Counter::PlatformFailures, Collection::Tallies.label(), 1);
+                tracing::warn!(%error, "counts of requests are not published");
+            }
         }
     }
 }
@@ -86,10 +89,12 @@
         for window in due(&cx, &reported) {
             match report_window(&cx, &store, &duties, &duty, window).await {
                 Ok(()) => {
+                    cx.metrics.add(Counter::UsageWindows, "reported", 1);
                     reported.insert(window);
                     reported.retain(|old| old + KEPT_SEALS > window);
                 }
                 Err(error) => {
+                    cx.metrics.add(Counter::UsageWindows, "failed", 1);
                     tracing::warn!(window, %error, "usage of a window is not reported yet");
                     break;
                 }
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,6 +1,8 @@
 //! Log output, set up once at the start of the process.
 
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use std::sync::OnceLock;
+
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 use crate::options::{LogFormat, Options};
@@ -19,6 +21,14 @@
     started.map_err(|error| eyre::eyre!("logging can't be set up: {error}"))
 }
 
+/// Counts the lines that were dropped, once JSON lines are written.
+static DROPPED: OnceLock<ErrorCounter> = OnceLock::new();
+
+/// Returns the lines that were dropped since the start because their reader was too slow.
+pub fn dropped_lines() -> u64 {
+    DROPPED.get().map_or(0, |counter| counter.dropped_lines() as u64)
+}
+
 /// Lines that wait to be written; further ones are dropped.
 const MAX_WAITING_LINES: usize = 4_096;
 
@@ -34,6 +44,8 @@
         .buffered_lines_limit(MAX_WAITING_LINES)
         .lossy(true)
         .finish(std::io::stdout());
+    // A second start fails below.
+    DROPPED.get_or_init(|| writer.error_counter());
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,6 +31,10 @@
     Retried,
     /// Calls to the platform, by kind.
     PlatformCalls,
+    /// Calls to the platform that failed, by kind.
+    PlatformFailures,
+    /// Usage windows reported, by outcome.
+    UsageWindows,
     /// Messages to peers, by kind.
     PeerMessages,
     /// Bytes of messages to peers before framing, by kind.
@@ -42,7 +46,7 @@
 pub enum Timing {
     /// Time to the first token, by class.
     FirstToken,
-    /// Time between tokens, by class.
+    /// Time between tokens, or between events that are passed on, by class.
     TokenGap,
     /// Time in the queue of a backend server, by class.
     QueueWait,
@@ -58,6 +62,8 @@
             Self::Refused => ("refused_requests_total", "code"),
             Self::Retried => ("retried_requests_total", "reason"),
             Self::PlatformCalls => ("platform_calls_total", "kind"),
+            Self::PlatformFailures => ("platform_failures_total", "kind"),
+            Self::UsageWindows => ("usage_windows_total", "outcome"),
             Self::PeerMessages => ("peer_messages_total", "kind"),
             Self::PeerBytes => ("peer_bytes_total", "kind"),
         }
--- a/src/routing/budget.rs
+++ b/src/routing/budget.rs
@@ -45,16 +45,21 @@
     ///
     /// `instances` is the number of instances that share the constant part.
     pub fn take(&mut self, now: Instant, instances: usize, cfg: &RetryBudgetSettings) -> bool {
-        forget(&mut self.requests, now, cfg.window);
-        forget(&mut self.repeats, now, cfg.window);
-        let share = cfg.slack / instances.max(1) as f64;
-        let allowed = USED_SHARE * (cfg.ratio * self.requests.len() as f64 + share);
-        let fits = (self.repeats.len() + 1) as f64 <= allowed.max(0.0);
+        let fits = self.left(now, instances, cfg) > 0;
         if fits {
             self.repeats.push_back(now);
         }
         fits
     }
+
+    /// Returns the repeats that are left of the budget now.
+    pub fn left(&mut self, now: Instant, instances: usize, cfg: &RetryBudgetSettings) -> u64 {
+        forget(&mut self.requests, now, cfg.window);
+        forget(&mut self.repeats, now, cfg.window);
+        let share = cfg.slack / instances.max(1) as f64;
+        let allowed = USED_SHARE * (cfg.ratio * self.requests.len() as f64 + share);
+        (allowed.max(0.0) as u64).saturating_sub(self.repeats.len() as u64)
+    }
 }
 
 fn forget(times: &mut VecDeque<Instant>, now: Instant, window: Duration) {
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -163,6 +163,28 @@
     assert_eq!(fx.runs(), 1);
 }
 
+#[tokio::test]
+async fn metrics_tell_what_happened_and_what_the_instance_knows() {
+    let fx = fixture(&[Fault::None, Fault::None]).await;
+    fx.instance.request("/job/1", "key").send().await.expect("it is answered").text().await.ok();
+    fx.instance.request("/lookup/1", "other").send().await.expect("it is answered");
+
+    let text = fx.instance.metrics().await;
+
+    for line in [
+        "refused_requests_total{code=\"401\"} 1",
+        "configuration_version{name=\"instance\"} 1",
+        "instances_listed{name=\"instance\"} 1",
+        "servers_usable{name=\"engines\"} 2",
+        "retry_budget_left{name=\"engines\"} 35",
+        "log_lines_dropped{name=\"instance\"} 0",
+        "lease_epoch_held{name=\"duties\"} 1",
+        "token_gap_seconds_count{class=\"job\"}",
+    ] {
+        assert!(text.contains(line), "{line} is missing:\n{text}");
+    }
+}
+
 #[tokio::test]
 async fn a_backend_server_that_drains_gets_no_new_request() {
     let fx = fixture(&[Fault::None]).await;
--- a/tests/gateway/support/instance.rs
+++ b/tests/gateway/support/instance.rs
@@ -24,6 +24,7 @@
     /// Where it accepts peers.
     pub peers: SocketAddr,
     ready: SocketAddr,
+    metrics: SocketAddr,
     client: reqwest::Client,
 }
 
@@ -98,8 +99,16 @@
         std::fs::write(settings.path(), text).expect("the file can be written");
         let child = start_process(settings.path(), cfg.log.as_deref());
         let client = reqwest::Client::builder().no_proxy().build().expect("the client is built");
-        let instance =
-            Self { child, settings, log: cfg.log, callers, peers: control, ready, client };
+        let instance = Self {
+            child,
+            settings,
+            log: cfg.log,
+            callers,
+            peers: control,
+            ready,
+            metrics: internal,
+            client,
+        };
         eventually("the instance is ready", || instance.is_ready()).await;
         instance
     }
@@ -116,6 +125,12 @@
         let _ = self.child.wait();
     }
 
+    /// Returns its metrics as text.
+    pub async fn metrics(&self) -> String {
+        let rsp = self.client.get(format!("http://{}/metrics", self.metrics)).send().await;
+        rsp.expect("metrics are served").text().await.expect("they are text")
+    }
+
     /// Returns whether it takes new connections.
     pub async fn is_ready(&self) -> bool {
         let url = format!("http://{}/laburnumvalve/ready", self.ready);
