Let a process that stops take only requests that it can finish

A balancer with few instances left goes on to use one that stops. Once the usual time for late connections is over, a request that may outlast the process is refused as not run, to be tried elsewhere at once; shorter ones are served. The new test failed before.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -29,6 +29,8 @@
 const PATIENCE_TARGETS: u32 = 3;
 /// Time after which a refused request finds a backend server again, in the usual case.
 const RETRY_AFTER_S: f64 = 0.5;
+/// Time after which a caller of an instance that stops may try another one, which serves at once.
+const RETRY_AFTER_LEAVING_S: f64 = 0.05;
 /// Time after which an instance without a fresh configuration has usually got one.
 const RETRY_AFTER_UNPROVED_S: f64 = 0.3;
 
@@ -78,6 +80,10 @@
         .ok_or(Refusal::NotRun { retry_after_s: RETRY_AFTER_S })?
         .clone();
     let patience = head.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
+    let give_up_at = arrived + patience;
+    if !cx.takes(give_up_at) {
+        return Err(Refusal::NotRun { retry_after_s: RETRY_AFTER_LEAVING_S });
+    }
     cx.note_request(&service, &head.demand);
     Ok(Job {
         service,
@@ -87,7 +93,7 @@
         headers: headers::forwardable(&parts.headers),
         body,
         arrived,
-        give_up_at: arrived + patience,
+        give_up_at,
         counted: false.into(),
         head,
         route,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -11,7 +11,7 @@
 use super::duty::{self, Duty};
 use super::ingress::{self, LAST_CONNECTIONS};
 use super::settings::GatewaySettings;
-use super::shared::Shared;
+use super::shared::{Leaving, Shared};
 use super::{peers, roster, scaling, status, sync, usage};
 use crate::clock::{BootTime, wall_millis};
 use crate::platform::duties::Duties;
@@ -137,8 +137,10 @@
 async fn leave(cx: &Rc<Shared>) {
     let told = Instant::now();
     tracing::info!(connections = cx.connections.get(), "told to stop");
-    cx.draining.send_replace(true);
     let grace = cx.cfg().stop_grace.saturating_sub(LEAVE_MARGIN);
+    let takes_all_until = told + LAST_CONNECTIONS;
+    cx.leaving.set(Some(Leaving { takes_all_until, ends_at: told + grace }));
+    cx.draining.send_replace(true);
     loop {
         tokio::time::sleep(LEAVE_POLL).await;
         let waited = told.elapsed();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -32,6 +32,15 @@
 /// heartbeats of more than a second each.
 const REGISTRY_SILENCE: Duration = Duration::from_millis(3_000);
 
+/// The times of an instance that was told to stop.
+#[derive(Debug, Clone, Copy)]
+pub struct Leaving {
+    /// Until when it takes every request, as callers still come in the usual way.
+    pub takes_all_until: Instant,
+    /// When it ends, whatever is unfinished.
+    pub ends_at: Instant,
+}
+
 /// The state of one instance; its tasks run on one thread.
 pub struct Shared {
     /// Settings in use.
@@ -64,6 +73,8 @@
     pub metrics: Metrics,
     /// Whether this instance is about to stop.
     pub draining: watch::Sender<bool>,
+    /// When this instance ends, if it was told to stop.
+    pub leaving: Cell<Option<Leaving>>,
     /// Open connections of callers.
     pub connections: Cell<usize>,
     /// Whether the last call for the configuration failed.
@@ -98,6 +109,7 @@
             time: RefCell::new(TrueTime::new(wall_millis(), BootTime::now())),
             metrics: Metrics::default(),
             draining: watch::Sender::new(false),
+            leaving: Cell::new(None),
             connections: Cell::new(0),
             store_fails: Cell::new(false),
             store_is_away: watch::Sender::new(false),
@@ -137,6 +149,13 @@
         *self.draining.borrow()
     }
 
+    /// Returns whether a request that may last until `give_up_at` should be taken.
+    pub fn takes(&self, give_up_at: Instant) -> bool {
+        self.leaving.get().is_none_or(|leaving| {
+            Instant::now() < leaving.takes_all_until || give_up_at <= leaving.ends_at
+        })
+    }
+
     /// Notes that the store told of backend servers, directly or through a peer, or did not.
     ///
     /// Entries lapse without cause only while nothing is heard of the store for a while; a store
--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -1,9 +1,43 @@
 //! A process that is told to stop.
 
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
 use crate::support::instance::{ATTEMPT, InstanceSettings};
 use crate::support::runner::whole_stream;
 use crate::support::{Instance, PATIENCE, Runner, StandInStore, config};
 
+/// Opens a connection whose request does not end, so that the process waits for it.
+async fn open_endless_request(instance: &Instance) -> TcpStream {
+    let mut socket = TcpStream::connect(instance.callers).await.expect("it accepts");
+    let head = "POST /booking/1 HTTP/1.1\r\nhost: valve.example\r\ncontent-length: 10\r\n\
+                x-laburnumvalve-attempt-id: endless\r\nx-laburnumvalve-key: key\r\n\r\nhalf";
+    socket.write_all(head.as_bytes()).await.expect("it reads");
+    socket
+}
+
+/// Pattern: the balancer has too few instances left, and goes on to use one that stops.
+#[tokio::test]
+async fn a_process_that_stops_takes_only_what_it_can_finish() {
+    let store = StandInStore::start().await;
+    store.put("config", "main", config(1, &["key"]));
+    let runner = Runner::start("runner-1").await;
+    store.put("servers", &runner.name(), runner.entry());
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
+    let instance = Instance::start(cfg).await;
+    let _endless = open_endless_request(&instance).await;
+
+    instance.terminate();
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+
+    let long = instance.request("/stream/1", "key").send().await.expect("it is answered");
+    assert_eq!((long.status().as_u16(), runner.runs().len()), (503, 0));
+    assert!(long.headers().contains_key("retry-after"));
+    let req = instance.request("/booking/1", "key");
+    let short = req.header("x-laburnumvalve-deadline-ms", "1000").send().await;
+    assert_eq!(short.expect("it is answered").status(), 200);
+}
+
 #[tokio::test]
 async fn a_process_told_to_stop_serves_what_it_has_and_ends() {
     let store = StandInStore::start().await;
--- a/tests/gateway/support/instance.rs
+++ b/tests/gateway/support/instance.rs
@@ -143,7 +143,6 @@
             .post(format!("http://{}{path}", self.callers))
             .header("host", "valve.example")
             .header("x-laburnumvalve-attempt-id", ATTEMPT)
-            .header("x-laburnumvalve-deadline-ms", "4000")
             .header("x-laburnumvalve-key", key)
             .body("body")
     }
