Keep rendezvous ranks in one place

The count of larger weights stood in the cold limit and in the lease of the duties, and the weight, which four parts use, in the module of the cold limit. Ranks are the same.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -14,7 +14,7 @@
 use crate::names::InstanceName;
 use crate::platform::duties::Caller;
 use crate::platform::{Collection, Object, PlatformError, Store};
-use crate::routing::cold::weight;
+use crate::routing::rank::rank;
 
 /// Name of the lease.
 const LEASE: &str = "duties";
@@ -87,10 +87,7 @@
 
 /// Returns whether this instance is among the few that contend.
 fn contends(cx: &Shared, me: &InstanceName) -> bool {
-    let members = cx.members.borrow();
-    let own = weight(me.as_str(), 0);
-    let better = members.names().filter(|other| weight(other.as_str(), 0) > own);
-    better.count() < CONTENDERS
+    rank(me, cx.members.borrow().names(), 0) < CONTENDERS
 }
 
 async fn round(cx: &Shared, store: &Store, claimant: &mut Claimant, duty: &Duty) {
--- a/src/routing/choose.rs
+++ b/src/routing/choose.rs
@@ -5,14 +5,14 @@
 use std::time::Instant;
 
 use crate::names::{BackendServerName, DataCentreName};
-use crate::routing::cold::weight;
 use crate::routing::fleet::Server;
 use crate::routing::load::Loads;
+use crate::routing::rank::weight;
 
 /// Weights of the choice.
 #[derive(Debug, Clone, Copy)]
 pub struct ChoiceSettings {
-    /// Prompt tokens that an engine reads in a millisecond; the engines' data sheet says 36.7.
+    /// Prompt tokens that an engine reads in a millisecond, as stated for the engines.
     pub tokens_per_ms: f64,
     /// Cost of each request that an engine runs already, in ms: it slows every step.
     pub per_running_ms: f64,
--- a/src/routing/cold.rs
+++ b/src/routing/cold.rs
@@ -7,20 +7,16 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::names::{BackendServerName, InstanceName};
+use crate::routing::rank::rank;
 
 /// Instances that may send to a cold backend server.
 pub const COLD_SENDERS: usize = 2;
 /// Sliding window of the limit.
 const WINDOW: Duration = Duration::from_millis(1_050);
 
-/// Returns the rendezvous weight of an item for a candidate.
-pub fn weight(candidate: &str, item: u64) -> u64 {
-    xxh3_64_with_seed(candidate.as_bytes(), item)
-}
-
 /// Bounds of the requests to a cold backend server within one second, over all instances.
 #[derive(Debug, Clone, Copy)]
 pub struct ColdSettings {
@@ -44,14 +40,10 @@
     instances: impl Iterator<Item = &'a InstanceName>,
     server: &BackendServerName,
 ) -> bool {
-    let item = xxh3_64_with_seed(server.as_str().as_bytes(), 0);
-    let own = weight(me.as_str(), item);
-    let (mut is_listed, mut better) = (false, 0);
-    for other in instances {
-        is_listed |= other == me;
-        better += usize::from(weight(other.as_str(), item) > own);
-    }
-    is_listed && better < COLD_SENDERS
+    let item = xxh3_64(server.as_str().as_bytes());
+    let mut is_listed = false;
+    let instances = instances.inspect(|other| is_listed |= *other == me);
+    rank(me, instances, item) < COLD_SENDERS && is_listed
 }
 
 /// Requests that this instance sent to a cold backend server within the last second.
--- a/src/routing/members.rs
+++ b/src/routing/members.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use crate::names::{DataCentreName, InstanceName};
-use crate::routing::cold::weight;
+use crate::routing::rank::weight;
 
 /// Time for which an instance that did not answer, or had old news, is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(4);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -12,5 +12,6 @@
 pub mod mirror;
 pub mod mix;
 pub mod proof;
+pub mod rank;
 pub mod scaling;
 pub mod windows;
