--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -3,7 +3,8 @@
 
 use std::time::Duration;
 
-use reqwest::{Method, StatusCode};
+use bytes::Bytes;
+use reqwest::{Method, RequestBuilder, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
@@ -262,15 +263,24 @@
         body: Option<Value>,
         timeout: Duration,
     ) -> Result<String, PlatformError> {
-        let mut req = self.http.request(method, url).timeout(timeout);
-        if let Some(body) = body {
-            req = req.json(&body);
-        }
-        let rsp = req.send().await.map_err(|error| failed_call(&error))?;
-        let status = rsp.status();
-        let text = rsp.text().await.map_err(|error| PlatformError::Unknown(error.to_string()))?;
-        check_status(status).map(|()| text)
+        let req = self.http.request(method, url).timeout(timeout);
+        let (status, body) = exchange(req, body).await?;
+        check_status(status).map(|()| String::from_utf8_lossy(&body).into_owned())
+    }
+}
+
+/// Makes a call and reads its answer, whatever the status.
+pub(super) async fn exchange(
+    mut req: RequestBuilder,
+    body: Option<Value>,
+) -> Result<(StatusCode, Bytes), PlatformError> {
+    if let Some(body) = body {
+        req = req.json(&body);
     }
+    let rsp = req.send().await.map_err(|error| failed_call(&error))?;
+    let status = rsp.status();
+    let body = rsp.bytes().await.map_err(|error| PlatformError::Unknown(error.to_string()))?;
+    Ok((status, body))
 }
 
 /// Tells what a status says of a call.
@@ -312,7 +322,7 @@
     )
 }
 
-fn from_value<T: DeserializeOwned>(value: Value) -> Result<T, PlatformError> {
+pub(super) fn from_value<T: DeserializeOwned>(value: Value) -> Result<T, PlatformError> {
     serde_json::from_value(value).map_err(|error| PlatformError::Malformed(error.to_string()))
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 
 use super::headers::base_url;
-use super::objects::{Object, PlatformError, check_status};
+use super::objects::{Object, PlatformError, check_status, exchange, from_value};
 
 /// How long a call may take before its outcome counts as unknown.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -165,7 +165,7 @@
         loop {
             let after = found.last().map(|last| format!("?after={}", last.name));
             let url = format!("{}/{}{}", self.base, of.as_str(), after.unwrap_or_default());
-            let page: WireList = parse(self.call(Method::GET, &url, None).await?)?;
+            let page: WireList = from_value(self.call(Method::GET, &url, None).await?)?;
             // Pages are read one after the other; only the first revision covers them all.
             let at = *first_at.get_or_insert(page.at);
             found.extend(page.items.into_iter().map(Stored::from));
@@ -192,7 +192,7 @@
             return Ok(Watched::Lost);
         }
         check_status(status)?;
-        let events: WireEvents = parse(body)?;
+        let events: WireEvents = from_value(body)?;
         let changes = events
             .events
             .into_iter()
@@ -279,13 +279,8 @@
         body: Option<Value>,
         timeout: Duration,
     ) -> Result<(StatusCode, Value), PlatformError> {
-        let mut req = self.http.request(method, url).timeout(timeout);
-        if let Some(body) = body {
-            req = req.json(&body);
-        }
-        let rsp = req.send().await.map_err(|error| super::objects::failed_call(&error))?;
-        let status = rsp.status();
-        let text = rsp.bytes().await.map_err(|error| PlatformError::Unknown(error.to_string()))?;
+        let req = self.http.request(method, url).timeout(timeout);
+        let (status, text) = exchange(req, body).await?;
         if text.is_empty() || !status.is_success() {
             return Ok((status, Value::Null));
         }
@@ -295,16 +290,12 @@
     }
 }
 
-fn parse<T: DeserializeOwned>(body: Value) -> Result<T, PlatformError> {
-    serde_json::from_value(body).map_err(|error| PlatformError::Malformed(error.to_string()))
-}
-
 fn open<T: DeserializeOwned>(body: Value) -> Result<Object<T>, PlatformError> {
-    let wire: WireObject = parse(body)?;
+    let wire: WireObject = from_value(body)?;
     let version = wire.metadata.revision.to_string();
-    Ok(Object { name: wire.metadata.name, version, spec: parse(wire.spec)? })
+    Ok(Object { name: wire.metadata.name, version, spec: from_value(wire.spec)? })
 }
 
 fn version(body: Value) -> Result<String, PlatformError> {
-    Ok(parse::<WireObject>(body)?.metadata.revision.to_string())
+    Ok(from_value::<WireObject>(body)?.metadata.revision.to_string())
 }
