--- a/tests/gateway/drain.rs
+++ b/tests/gateway/drain.rs
@@ -5,7 +5,7 @@
 
 use crate::support::instance::{ATTEMPT, InstanceSettings};
 use crate::support::runner::whole_stream;
-use crate::support::{Instance, PATIENCE, Runner, StandInStore, config};
+use crate::support::{Instance, PATIENCE, stand_ins};
 
 /// Opens a connection whose request does not end, so that the process waits for it.
 async fn open_endless_request(instance: &Instance) -> TcpStream {
@@ -19,10 +19,7 @@
 /// Pattern: the balancer has too few instances left, and goes on to use one that stops.
 #[tokio::test]
 async fn a_process_that_stops_takes_only_what_it_can_finish() {
-    let store = StandInStore::start().await;
-    store.put("config", "main", config(1, &["key"]));
-    let runner = Runner::start("runner-1").await;
-    store.put("servers", &runner.name(), runner.entry());
+    let (store, runner) = stand_ins(&["key"]).await;
     let cfg = InstanceSettings { store: store.address, ..Default::default() };
     let instance = Instance::start(cfg).await;
     let _endless = open_endless_request(&instance).await;
@@ -40,10 +37,7 @@
 
 #[tokio::test]
 async fn a_process_told_to_stop_serves_what_it_has_and_ends() {
-    let store = StandInStore::start().await;
-    store.put("config", "main", config(1, &["key"]));
-    let runner = Runner::start("runner-1").await;
-    store.put("servers", &runner.name(), runner.entry());
+    let (store, _runner) = stand_ins(&["key"]).await;
     let cfg = InstanceSettings { store: store.address, ..Default::default() };
     let mut instance = Instance::start(cfg).await;
     let streaming = instance.request("/stream/1", "key").send().await.expect("it has begun");
--- a/tests/gateway/outage.rs
+++ b/tests/gateway/outage.rs
@@ -1,15 +1,33 @@
 //! The store turns instances away, or is gone.
 
 use crate::support::instance::InstanceSettings;
-use crate::support::{Instance, Runner, StandInStore, config, eventually, full, serve};
+use crate::support::{Instance, Runner, StandInStore, config, eventually, full, serve, stand_ins};
 use serde_json::json;
 
-async fn stand_ins() -> (StandInStore, Runner) {
-    let store = StandInStore::start().await;
-    store.put("config", "main", config(1, &["key", "other-key"]));
-    let runner = Runner::start("runner-1").await;
-    store.put("servers", &runner.name(), runner.entry());
-    (store, runner)
+/// Keys of the configuration.
+const KEYS: [&str; 2] = ["key", "other-key"];
+
+/// Starts an instance that the store always serves.
+async fn start_served(store: &StandInStore) -> Instance {
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
+    Instance::start(cfg).await
+}
+
+/// Returns the settings of another instance, which the store can turn away.
+fn turned_away(store: &StandInStore) -> InstanceSettings {
+    InstanceSettings { name: "instance-2".to_owned(), store: store.fragile, ..Default::default() }
+}
+
+/// Removes a server, and checks that an instance stops to use it at once.
+async fn assert_removed_at_once(store: &StandInStore, runner: &Runner, instance: &Instance) {
+    store.delete("servers", &runner.name());
+    let removed = std::time::Instant::now();
+    eventually("the removed server gets nothing", || async {
+        status(instance, "key").await == 503
+    })
+    .await;
+    let took = removed.elapsed();
+    assert!(took < std::time::Duration::from_millis(1_400), "{took:?}");
 }
 
 async fn status(instance: &Instance, key: &str) -> u16 {
@@ -19,7 +37,7 @@
 
 #[tokio::test]
 async fn keys_stop_working_when_nothing_proves_the_configuration() {
-    let (store, runner) = stand_ins().await;
+    let (store, runner) = stand_ins(&KEYS).await;
     let cfg = InstanceSettings { store: store.fragile, revoke_ms: 3_000, ..Default::default() };
     let instance = Instance::start(cfg).await;
     assert_eq!(status(&instance, "key").await, 200);
@@ -38,7 +56,7 @@
 /// Pattern: a store in trouble is called by everyone at once, again and again.
 #[tokio::test]
 async fn a_store_that_is_away_is_called_for_the_configuration_only() {
-    let (store, _runner) = stand_ins().await;
+    let (store, _runner) = stand_ins(&KEYS).await;
     let cfg = InstanceSettings { store: store.fragile, ..Default::default() };
     let instance = Instance::start(cfg).await;
 
@@ -56,12 +74,9 @@
 
 #[tokio::test]
 async fn an_instance_that_the_store_turns_away_learns_of_a_withdrawn_key_from_a_peer() {
-    let (store, _runner) = stand_ins().await;
-    let cfg = InstanceSettings { store: store.address, ..Default::default() };
-    let turned_away =
-        InstanceSettings { name: "instance-2".to_owned(), store: store.fragile, ..cfg.clone() };
-    let _peer = Instance::start(cfg).await;
-    let instance = Instance::start(turned_away).await;
+    let (store, _runner) = stand_ins(&KEYS).await;
+    let _peer = start_served(&store).await;
+    let instance = Instance::start(turned_away(&store)).await;
     assert_eq!(status(&instance, "other-key").await, 200);
 
     store.set_away(true);
@@ -78,27 +93,21 @@
 /// Pattern: a new machine comes while the store serves only some.
 #[tokio::test]
 async fn a_new_instance_that_the_store_turns_away_learns_from_a_seed() {
-    let (store, _runner) = stand_ins().await;
-    let cfg = InstanceSettings { store: store.address, ..Default::default() };
-    let peer = Instance::start(cfg).await;
+    let (store, _runner) = stand_ins(&KEYS).await;
+    let peer = start_served(&store).await;
     store.set_away(true);
 
-    let instance = Instance::start(InstanceSettings {
-        name: "instance-2".to_owned(),
-        store: store.fragile,
-        bounds: format!("seeds={}\n", peer.peers),
-        ..Default::default()
-    })
-    .await;
+    let seeds = format!("seeds={}\n", peer.peers);
+    let cfg = InstanceSettings { bounds: seeds, ..turned_away(&store) };
+    let instance = Instance::start(cfg).await;
 
     assert_eq!(status(&instance, "key").await, 200);
 }
 
 #[tokio::test]
 async fn an_instance_that_is_struck_off_registers_again() {
-    let (store, _runner) = stand_ins().await;
-    let cfg = InstanceSettings { store: store.address, ..Default::default() };
-    let _instance = Instance::start(cfg).await;
+    let (store, _runner) = stand_ins(&KEYS).await;
+    let _instance = start_served(&store).await;
     let is_listed = || async { store.has("valve-instances", "instance-1") };
     eventually("it is registered", is_listed).await;
 
@@ -126,21 +135,13 @@
 /// A peer with old news is no outage of the store, in which entries lapse without cause.
 #[tokio::test]
 async fn a_removed_server_is_out_of_use_at_once_after_a_peer_had_old_news() {
-    let (store, runner) = stand_ins().await;
+    let (store, runner) = stand_ins(&KEYS).await;
     register_stale_peers(&store).await;
-    let cfg = InstanceSettings { store: store.address, ..Default::default() };
-    let instance = Instance::start(cfg).await;
+    let instance = start_served(&store).await;
 
-    for round in 0..4 {
+    for _round in 0..4 {
         tokio::time::sleep(std::time::Duration::from_millis(900)).await;
-        store.delete("servers", &runner.name());
-        let removed = std::time::Instant::now();
-        eventually("the removed server gets nothing", || async {
-            status(&instance, "key").await == 503
-        })
-        .await;
-        let took = removed.elapsed();
-        assert!(took < std::time::Duration::from_millis(1_400), "{took:?} in round {round}");
+        assert_removed_at_once(&store, &runner, &instance).await;
         store.put("servers", &runner.name(), runner.entry());
     }
 }
@@ -148,9 +149,8 @@
 /// Pattern: an entry changes and goes before the next call for news, which brings both.
 #[tokio::test]
 async fn a_server_that_changed_and_was_removed_in_one_answer_stays_out_of_use() {
-    let (store, runner) = stand_ins().await;
-    let cfg = InstanceSettings { store: store.address, ..Default::default() };
-    let instance = Instance::start(cfg).await;
+    let (store, runner) = stand_ins(&KEYS).await;
+    let instance = start_served(&store).await;
     let mut entry = runner.entry();
     // The news of the first change ends the waiting call; the next one comes half a second later.
     for sequence in 2..4 {
@@ -168,22 +168,11 @@
 /// A store that turns one instance away is no outage, in which entries lapse without cause.
 #[tokio::test]
 async fn a_removed_server_is_out_of_use_at_once_at_an_instance_that_is_turned_away() {
-    let (store, runner) = stand_ins().await;
-    let cfg = InstanceSettings { store: store.address, ..Default::default() };
-    let turned_away =
-        InstanceSettings { name: "instance-2".to_owned(), store: store.fragile, ..cfg.clone() };
-    let _peer = Instance::start(cfg).await;
-    let instance = Instance::start(turned_away).await;
+    let (store, runner) = stand_ins(&KEYS).await;
+    let _peer = start_served(&store).await;
+    let instance = Instance::start(turned_away(&store)).await;
     store.set_away(true);
     tokio::time::sleep(std::time::Duration::from_secs(6)).await;
 
-    store.delete("servers", &runner.name());
-    let removed = std::time::Instant::now();
-    eventually("the removed server gets nothing", || async {
-        status(&instance, "key").await == 503
-    })
-    .await;
-
-    let took = removed.elapsed();
-    assert!(took < std::time::Duration::from_millis(1_400), "{took:?}");
+    assert_removed_at_once(&store, &runner, &instance).await;
 }
--- a/tests/gateway/soak/promises.rs
+++ b/tests/gateway/soak/promises.rs
@@ -90,7 +90,7 @@
     }
 
     fn check_runs(&mut self) {
-        for (centre, run) in std::mem::take(&mut self.runs).iter() {
+        for (centre, run) in std::mem::take(&mut self.runs) {
             let attempt = run.text("x-laburnumvalve-attempt-id");
             let Some(asked) = self.asked.get(attempt).copied() else {
                 self.broken.push(format!("nobody asked for it: {run:?}"));
@@ -104,8 +104,8 @@
                 !is_over && asked.sent > change.at + bound
             };
             let history = self.history;
-            let by_key = history.withdrawn.iter().filter(|change| change.name == asked.key);
-            if by_key.into_iter().any(|change| late(change, REVOKE)) {
+            let mut by_key = history.withdrawn.iter().filter(|change| change.name == asked.key);
+            if by_key.any(|change| late(change, REVOKE)) {
                 self.broken.push(format!("its key was withdrawn: {asked:?}"));
             }
             if !history.is_in_touch(asked.instance, asked.sent, run.at) {
@@ -116,7 +116,7 @@
             if left.any(|change| late(change, DRAIN)) {
                 self.broken.push(format!("{server} had left: {asked:?}"));
             }
-            let mut out = history.out.iter().filter(|change| change.name == *centre);
+            let mut out = history.out.iter().filter(|change| change.name == centre);
             if out.any(|change| late(change, EVACUATE)) {
                 self.broken.push(format!("{centre} was taken out: {asked:?}"));
             }
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -68,6 +68,15 @@
     address
 }
 
+/// Starts a store with a configuration, and one listed backend server.
+pub async fn stand_ins(keys: &[&str]) -> (StandInStore, Runner) {
+    let store = StandInStore::start().await;
+    store.put("config", "main", config(1, keys));
+    let runner = Runner::start("runner-1").await;
+    store.put("servers", &runner.name(), runner.entry());
+    (store, runner)
+}
+
 /// Waits until a condition holds.
 pub async fn eventually<R: Future<Output = bool>>(what: &str, condition: impl Fn() -> R) {
     let started = std::time::Instant::now();
