Say ready only when the running instances are known

An instance said it was ready as soon as a configuration was in force, while its view of the running instances was still empty until the first list or beat; with no members no backend server has a queue, so every request was refused. Change: readiness and requests wait until the members are known; one function says why an instance is not ready. The admin test lists its node now and also expects the refusal before. Test: an_instance_is_ready_only_when_it_knows_who_serves, red before (list 5 s late), green after.

--- a/src/admin/health.rs
+++ b/src/admin/health.rs
@@ -15,14 +15,12 @@
 impl Ready {
     async fn handle(&self, res: &mut Response) {
         let cx = &self.0.cx;
-        let version = cx.in_force.borrow().config.version;
-        let unavailable = StatusCode::SERVICE_UNAVAILABLE;
-        if *cx.draining.borrow() {
-            refuse(res, unavailable, "draining", "the instance is shutting down");
-        } else if version == 0 {
-            refuse(res, unavailable, "no_configuration", "no configuration is in force yet");
-        } else {
-            answer(res, StatusCode::OK, json!({ "ready": true, "version": version }));
+        match cx.unready() {
+            Some(why) => refuse(res, StatusCode::SERVICE_UNAVAILABLE, why.code(), why.message()),
+            None => {
+                let version = cx.in_force.borrow().config.version;
+                answer(res, StatusCode::OK, json!({ "ready": true, "version": version }));
+            }
         }
     }
 }
--- a/src/context.rs
+++ b/src/context.rs
@@ -39,3 +39,49 @@
     /// Becomes true when this instance begins to shut down.
     pub draining: tokio::sync::watch::Receiver<bool>,
 }
+
+/// Why callers should not be sent to an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unready {
+    /// It is shutting down; requests that still reach it are served.
+    Draining,
+    /// No configuration is in force yet.
+    NoConfiguration,
+    /// It does not know yet which instances run, so it finds no queue for a request.
+    NoMembers,
+}
+
+impl Unready {
+    /// Returns the code in answers.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Draining => "draining",
+            Self::NoConfiguration => "no_configuration",
+            Self::NoMembers => "no_members",
+        }
+    }
+
+    /// Returns the message in answers.
+    pub fn message(self) -> &'static str {
+        match self {
+            Self::Draining => "the instance is shutting down",
+            Self::NoConfiguration => "no configuration is in force yet",
+            Self::NoMembers => "the running instances are not known yet",
+        }
+    }
+}
+
+impl Context {
+    /// Says why callers should not be sent to this instance; none if they may.
+    pub fn unready(&self) -> Option<Unready> {
+        if *self.draining.borrow() {
+            Some(Unready::Draining)
+        } else if self.in_force.borrow().config.version == 0 {
+            Some(Unready::NoConfiguration)
+        } else if self.members.borrow().listed.is_empty() {
+            Some(Unready::NoMembers)
+        } else {
+            None
+        }
+    }
+}
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -23,6 +23,7 @@
 use crate::claim::StoredAnswer;
 use crate::claim::record::content_hash;
 use crate::config::{Config, Route};
+use crate::context::Unready;
 use crate::home::{OverLimit, Started};
 use crate::names::RequestId;
 use crate::outcome::{Refusal, RefusalCode, Unsent};
@@ -73,8 +74,8 @@
     /// # Errors
     /// If it is refused before anything was sent.
     async fn start(&self, req: &mut Request, id: &RequestId) -> Result<Reply, Denial> {
-        if self.cx.in_force.borrow().config.version == 0 {
-            return Err(Denial::new(RefusalCode::NotReady, "no configuration yet"));
+        if let Some(why) = self.cx.unready().filter(|why| *why != Unready::Draining) {
+            return Err(Denial::new(RefusalCode::NotReady, why.message()));
         }
         let kind = match (req.uri().path(), req.method()) {
             ("/v1/models", &Method::GET) => return self.list_models(req),
--- a/src/outcome.rs
+++ b/src/outcome.rs
@@ -35,7 +35,7 @@
         OrganisationLimit,
         /// No backend server of the route takes work at present.
         NoBackendServer,
-        /// The instance is shutting down or has no configuration yet.
+        /// The instance is shutting down, or knows no configuration or no instances yet.
         NotReady,
         /// The claim that makes the request run once could not be made.
         ClaimUnavailable,
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -3,7 +3,8 @@
 mod config_support;
 
 use config_support::{
-    ADMIN_SECRET, Node, config_of_weight, eventually, sheet_of_weight, start_node, start_platform,
+    ADMIN_SECRET, Node, config_of_weight, eventually, introduce, sheet_of_weight, start_node,
+    start_platform,
 };
 use laburnumvalve::admin;
 use laburnumvalve::cli::{Operation, Reach};
@@ -98,7 +99,7 @@
 }
 
 #[tokio::test]
-async fn an_instance_is_ready_while_it_has_a_configuration_and_does_not_drain() {
+async fn an_instance_is_ready_while_it_knows_configuration_and_members_and_does_not_drain() {
     let fixture = start().await;
     let ready = async || {
         let rsp = fixture.http.get(format!("{}/ready", fixture.url)).send().await;
@@ -108,11 +109,14 @@
 
     let before = ready().await;
     fixture.node.config.apply(config_of_weight(1), 0).await.expect("the sheet is accepted");
+    let unlisted = ready().await;
+    introduce(&[&fixture.node]);
     let during = ready().await;
     fixture.node.draining.send_replace(true);
     let after = ready().await;
 
     assert_eq!(before, (503, json!("no_configuration")));
+    assert_eq!(unlisted, (503, json!("no_members")));
     assert_eq!(during, (200, Value::Null));
     assert_eq!(after, (503, json!("draining")));
 }
--- a/tests/failures_service.rs
+++ b/tests/failures_service.rs
@@ -9,6 +9,7 @@
 use common::{Caller, Fleet, FleetSettings, IN_FORCE_BOUND, STEP_BOUND};
 use futures::future::join_all;
 use serde_json::Value;
+use standins::PlatformSettings;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
@@ -204,3 +205,18 @@
         assert_eq!(versions.last().copied(), last);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_is_ready_only_when_it_knows_who_serves() {
+    let slow_list = PlatformSettings { list_lag: Duration::from_secs(5), ..Default::default() };
+    let flags = vec![("beat-ms", "2000"), ("suspect-ms", "8000")];
+    let settings = FleetSettings { platform: slow_list, flags, ..Default::default() };
+    let fleet = Fleet::start(settings).await;
+    let key = fleet.issue("i1", "shobdo").await;
+
+    for at in fleet.instances.keys() {
+        let answer = fleet.caller(at, &key).post("/bookings/north", Some(at), "sofa").await;
+
+        assert_eq!(answer.status, 200, "{at}: {answer:?}");
+    }
+}
