Leave a data centre where nobody answers after two sends

Change: routing/tried.rs keeps what one request learned: after two misses in a data centre the others come first, six misses in all end the request; a send that reached nobody is no attempt and costs no repeat.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -14,17 +14,15 @@
 use super::relay;
 use super::shared::Shared;
 use crate::metrics::Counter;
-use crate::names::BackendServerName;
 use crate::platform::headers;
 use crate::routing::catalog::{Catalog, Organisation, Repeat, Route};
 use crate::routing::load::Verdict;
+use crate::routing::tried::Tried;
 
 /// Time that a caller waits if it states none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 /// Largest answer of a plain service that is read whole before it goes to the caller.
 const MAX_HELD_ANSWER: usize = 256 << 10;
-/// Sends that reached no backend server of the service, after which a request is refused.
-const MAX_UNSENT: u32 = 3;
 /// Wait for an answer that may be asked for elsewhere, as a multiple of the time target.
 const PATIENCE_TARGETS: u32 = 3;
 /// Time after which a refused request finds a backend server again, in the usual case.
@@ -150,11 +148,12 @@
         let Some((choice, server)) = cx.choose(&job.service, demand, &tries.tried) else {
             return Err(tries.give_up(job, UNSERVED));
         };
-        if tries.arrived + tries.misdirected > 0 && !cx.take_repeat(&job.service.name) {
+        if tries.must_pay && !cx.take_repeat(&job.service.name) {
             return Err(tries.give_up(job, UNSERVED));
         }
         record.sent(&choice);
-        tries.tried.push(choice.server.clone());
+        tries.tried.add(choice.server.clone());
+        tries.must_pay = true;
         let wait = tries.wait(job);
         let from = From { last_event: job.head.last_event, ..From::default() };
         let sent = send(cx, job, &choice, &server, wait, from).await;
@@ -175,11 +174,12 @@
             }
             Sent::Misdirected => {
                 record.send_ended("misdirected");
-                tries.misdirected += 1;
+                tries.tried.note_miss(&server.entry);
             }
             Sent::NotSent(why) => {
                 record.send_ended(&why);
-                tries.unsent += 1;
+                tries.tried.note_miss(&server.entry);
+                tries.must_pay = false;
             }
             Sent::Unknown(why) => {
                 record.send_ended(&why);
@@ -216,13 +216,11 @@
 /// The sends of one request so far.
 #[derive(Debug, Default)]
 struct Tries {
-    tried: Vec<BackendServerName>,
-    /// Sends that reached a backend server, as far as is known.
+    tried: Tried,
+    /// Sends that reached a backend server of the service, as far as is known.
     arrived: u32,
-    /// Sends to an address that another server has; they are no attempts.
-    misdirected: u32,
-    /// Sends that did not leave this instance.
-    unsent: u32,
+    /// Whether the next send needs a share of the budget of repeats.
+    must_pay: bool,
     /// Whether the request may have run.
     may_have_run: bool,
 }
@@ -244,7 +242,7 @@
         let may_repeat = !self.may_have_run || job.route.repeat.may_run_again();
         may_repeat
             && self.arrived < job.route.max_attempts
-            && self.unsent + self.misdirected < MAX_UNSENT
+            && self.tried.may_find_another()
             && !job.left().is_zero()
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -27,6 +27,7 @@
 use crate::routing::catalog::Repeat;
 use crate::routing::choose::Demand;
 use crate::routing::load::Verdict;
+use crate::routing::tried::Tried;
 
 /// Pause between events after which a resumable stream goes on elsewhere, in gap targets.
 const SILENT_GAPS: u32 = 3;
@@ -50,7 +51,7 @@
     source: Option<(Incoming, Run)>,
     splitter: EventSplitter,
     last_event: Option<u64>,
-    tried: Vec<BackendServerName>,
+    tried: Tried,
     attempts: u32,
     /// When events were last passed on.
     passed_at: Instant,
@@ -79,7 +80,7 @@
     job: &Rc<Job>,
     record: &Rc<Record>,
     reply: Reply,
-    tried: Vec<BackendServerName>,
+    tried: Tried,
     attempts: u32,
 ) -> Result<Response<ReplyBody>, String> {
     let Reply { rsp, run } = reply;
@@ -226,7 +227,8 @@
         let Some((_, run)) = &self.source else { return Err("the run has ended".to_owned()) };
         let (from, address) = (run.server.clone(), run.address);
         let demand = Demand { prompt_tokens: 1, ..self.job.head.demand.clone() };
-        let excluded = [self.tried.as_slice(), std::slice::from_ref(&from)].concat();
+        let mut excluded = self.tried.clone();
+        excluded.add(from.clone());
         let found = self.cx.choose(&self.job.service, &demand, &excluded);
         let Some((choice, server)) = found else {
             return Err("no other engine has room".to_owned());
@@ -249,7 +251,7 @@
         });
         self.record.send_ended("moved");
         self.record.sent(&choice);
-        self.tried.push(choice.server.clone());
+        self.tried.add(choice.server.clone());
         let last_event = self.last_event;
         let at = From { last_event, memory: Some(&memory) };
         let wait = self.job.left();
@@ -359,27 +361,39 @@
 
     /// Goes on at another backend server after the last event that was passed on.
     async fn resume(&mut self) -> Result<(), String> {
-        while self.may_resume() && !self.job.left().is_zero() {
+        let mut must_pay = true;
+        while self.may_resume() && self.tried.may_find_another() && !self.job.left().is_zero() {
             self.check_key()?;
             let demand = &self.job.head.demand;
             let Some((choice, server)) = self.cx.choose(&self.job.service, demand, &self.tried)
             else {
                 return Err("no other backend server can go on".to_owned());
             };
-            if !self.cx.take_repeat(&self.job.service.name) {
+            if must_pay && !self.cx.take_repeat(&self.job.service.name) {
                 return Err("the retry budget is used up".to_owned());
             }
             self.cx.metrics.add(Counter::Retried, self.job.service.name.as_str(), 1);
             self.record.sent(&choice);
-            self.tried.push(choice.server.clone());
-            self.attempts += 1;
+            self.tried.add(choice.server.clone());
             let wait = self.job.left();
             let sent = {
                 let at = From { last_event: self.last_event, memory: None };
                 send(&self.cx, &self.job, &choice, &server, wait, at).await
             };
+            must_pay = !matches!(sent, Sent::NotSent(_));
             match sent {
+                Sent::Misdirected => {
+                    self.record.send_ended("misdirected");
+                    self.tried.note_miss(&server.entry);
+                    continue;
+                }
+                Sent::NotSent(why) => {
+                    self.record.send_ended(&why);
+                    self.tried.note_miss(&server.entry);
+                    continue;
+                }
                 Sent::Answer(reply) if reply.rsp.status().is_success() => {
+                    self.attempts += 1;
                     self.splitter = EventSplitter::after(self.last_event);
                     self.source = Some((reply.rsp.into_body(), reply.run));
                     return Ok(());
@@ -388,9 +402,10 @@
                     self.record.send_ended(&format!("status {}", reply.rsp.status().as_u16()));
                     reply.run.finish_unread();
                 }
-                Sent::NotRun | Sent::Misdirected => self.record.send_ended("not run"),
-                Sent::NotSent(why) | Sent::Unknown(why) => self.record.send_ended(&why),
+                Sent::NotRun => self.record.send_ended("not run"),
+                Sent::Unknown(why) => self.record.send_ended(&why),
             }
+            self.attempts += 1;
         }
         Err("the stream may not go on".to_owned())
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -23,6 +23,7 @@
 use crate::routing::mirror::Mirror;
 use crate::routing::mix::WorkMix;
 use crate::routing::proof::Proof;
+use crate::routing::tried::Tried;
 use crate::routing::windows::{Tallies, TrueTime};
 
 /// Part of the revocation bound after which an instance without proof takes no new connections.
@@ -233,14 +234,15 @@
         &self,
         service: &Service,
         demand: &Demand,
-        tried: &[BackendServerName],
+        tried: &Tried,
     ) -> Option<(Choice, Server)> {
         let now = Instant::now();
         let cfg = self.cfg();
         let fleet = self.fleet.borrow();
         let loads = self.loads.borrow();
-        let untried = fleet.usable(&service.name).filter(|s| !tried.contains(&s.entry.name));
+        let untried = fleet.usable(&service.name).filter(|s| !tried.has(&s.entry.name));
         let bearing: Vec<&Server> = untried.filter(|s| self.bears(now, service, s)).collect();
+        let bearing = tried.prefer_answering(bearing);
         let is_ejected =
             |s: &&Server| loads.get(&s.entry.name).is_some_and(|load| load.is_ejected(now));
         let mut sound: Vec<&Server> = bearing.iter().copied().filter(|s| !is_ejected(s)).collect();
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -14,4 +14,5 @@
 pub mod proof;
 pub mod rank;
 pub mod scaling;
+pub mod tried;
 pub mod windows;
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -134,6 +134,50 @@
     assert_eq!(fx.runs(), 8);
 }
 
+/// Lists servers of the instance's data centre where nobody listens, and one of another data centre.
+async fn lose_data_centre(store: &StandInStore) -> Runner {
+    let far = Runner::start("far").await;
+    let mut entry = far.entry();
+    entry["zone"] = "kolkata-b".into();
+    store.put("servers", "far", entry.clone());
+    for number in 0..5 {
+        let address = standins::free_address().expect("a port is free");
+        entry["zone"] = "kolkata-a".into();
+        entry["address"] = address.to_string().into();
+        store.put("servers", &format!("gone-{number}"), entry.clone());
+    }
+    far
+}
+
+/// All engines of a data centre went away, and the store has not told it yet.
+#[tokio::test]
+async fn a_request_leaves_a_data_centre_where_nobody_answers() {
+    let store = StandInStore::start().await;
+    store.put("config", "main", config(1, &["key"]));
+    let far = lose_data_centre(&store).await;
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
+    let instance = Instance::start(cfg).await;
+
+    let rsp = instance.request("/booking/1", "key").send().await.expect("it is answered");
+
+    assert_eq!((rsp.status().as_u16(), far.runs().len()), (200, 1));
+}
+
+/// A send that reached no server is no attempt.
+#[tokio::test]
+async fn a_broken_stream_leaves_a_data_centre_where_nobody_answers() {
+    let fx = fixture(&[Fault::CutStream]).await;
+    let request = fx.instance.request("/job/1", "key");
+    let rsp = request.send().await.expect("it has begun");
+    assert!(rsp.text().await.is_err(), "there is no other server yet");
+    lose_data_centre(&fx.store).await;
+    tokio::time::sleep(std::time::Duration::from_millis(900)).await;
+
+    let rsp = fx.instance.request("/job/1", "key").send().await.expect("it has begun");
+
+    assert_eq!(rsp.text().await.expect("the stream is whole"), whole_stream(ATTEMPT));
+}
+
 #[tokio::test]
 async fn a_stream_passes_whole() {
     let fx = fixture(&[Fault::None]).await;
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -7,5 +7,6 @@
 mod peers;
 mod scaling;
 mod support;
+mod tried;
 mod usage;
 mod wire;
