Wait in the outage test until the instance says that the store is away

Cause of a failure seen twice in 10 runs of the whole test file beside others: the test took one second for the time in which an instance notices, but a call under way (0.8 s) and the repeat after a pause (0.25 s) may take longer, and one call for servers came meanwhile.

--- a/tests/gateway/outage.rs
+++ b/tests/gateway/outage.rs
@@ -6,6 +6,9 @@
 
 /// Keys of the configuration.
 const KEYS: [&str; 2] = ["key", "other-key"];
+/// Time within which an instance notices that the store is away: a call for the configuration that
+/// is under way (0.8 s) and a repeat after a pause (0.25 s), with room for a busy machine.
+const NOTICED_WITHIN: std::time::Duration = std::time::Duration::from_millis(1_500);
 
 /// Starts an instance that the store always serves.
 async fn start_served(store: &StandInStore) -> Instance {
@@ -61,7 +64,14 @@
     let instance = Instance::start(cfg).await;
 
     store.set_away(true);
-    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    let away = std::time::Instant::now();
+    eventually("the instance notices it", || async {
+        instance.metrics().await.contains("store_away{name=\"instance\"} 1")
+    })
+    .await;
+    assert!(away.elapsed() < NOTICED_WITHIN, "{:?}", away.elapsed());
+    // Calls that were under way then are refused at once.
+    tokio::time::sleep(std::time::Duration::from_millis(50)).await;
     let noticed = store.refused().len();
     tokio::time::sleep(std::time::Duration::from_secs(3)).await;
 
