Explain a request from its log lines; log the reasons and figures of its sends

Cause: a refused request's line did not say which of its checks ended it, nor the load that chose its servers and how old that was; lines of a process that was killed midway were missing; and OPERATIONS.md told how to search by hand.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,7 +5,7 @@
 use getopts::Matches;
 
 use crate::names::{BackendServerName, ClassName, DataCentreName, KeyId, OrganisationName};
-use crate::options::{BadSetting, Options, SETTINGS, Secret};
+use crate::options::{BadSetting, LOG_ENV, Options, SETTINGS, Secret, read_filter};
 use crate::platform::settings::PATH_ENV;
 
 /// Exit code when the command did what was asked.
@@ -31,12 +31,28 @@
     Serve(Box<Options>),
     /// Print the resolved settings of an instance.
     ServeCheck(Box<Options>),
-    /// Run a gateway instance with the settings file that the platform wrote.
-    Gateway(PathBuf),
+    /// Run a gateway instance.
+    Gateway(GatewayStart),
+    /// Tell the story of a request.
+    Explain {
+        /// Identifier of the request.
+        id: String,
+        /// Logs of instances; standard input if there are none.
+        logs: Vec<PathBuf>,
+    },
     /// Talk to a running instance.
     Operate(Operation, Reach),
 }
 
+/// What a gateway instance is started with.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GatewayStart {
+    /// Settings file that the platform wrote.
+    pub settings: PathBuf,
+    /// Filter of the log lines, such as `info` or `off`.
+    pub log_filter: String,
+}
+
 /// How to reach the administration API and how to print its answer.
 #[derive(Debug, Clone, Default)]
 pub struct Reach {
@@ -130,6 +146,7 @@
   laburnumvalve backend-server out|in NAME    take a backend server out, or in again
   laburnumvalve status                        show an instance and its peers
   laburnumvalve timeline                      show the events of all instances
+  laburnumvalve explain ID [FILE...]          tell a request's story from gateways' log lines
 
 Exit codes: 0 done, 1 failed, 2 the command line or a setting is wrong.
 ";
@@ -144,6 +161,7 @@
         Some("--version" | "-V") => Ok(Command::Print(version())),
         Some("serve") => parse_serve(&args[1..], env),
         Some("gateway") => parse_gateway(&args[1..], env),
+        Some("explain") => parse_explain(&args[1..]),
         Some(_) => parse_operation(args, env),
     }
 }
@@ -195,6 +213,8 @@
     let mut flags = getopts::Options::new();
     let help = format!("Settings file that the platform wrote [{PATH_ENV}]");
     flags.optopt("", "settings", &help, "FILE");
+    let help = format!("Filter of the log lines, such as info or off [{LOG_ENV}]");
+    flags.optopt("", "log", &help, "FILTER");
     flags.optflag("h", "help", "Print this help");
     flags
 }
@@ -207,10 +227,25 @@
     if matches.opt_present("help") {
         return Ok(Command::Print(full_help()));
     }
-    let path = matches.opt_str("settings").or_else(|| env(PATH_ENV));
-    path.map(|path| Command::Gateway(path.into())).ok_or_else(|| {
+    let settings = matches.opt_str("settings").or_else(|| env(PATH_ENV)).ok_or_else(|| {
         UsageError::Arguments(format!("gateway needs --settings FILE or {PATH_ENV}"))
-    })
+    })?;
+    let log_filter = matches.opt_str("log").or_else(|| env(LOG_ENV));
+    let log_filter = log_filter.unwrap_or_else(|| Options::default().log_filter);
+    let log_filter = read_filter(&log_filter).map_err(|allowed| {
+        let value = Some(log_filter.clone());
+        UsageError::Settings(vec![BadSetting { flag: "log", env: LOG_ENV, value, allowed }])
+    })?;
+    Ok(Command::Gateway(GatewayStart { settings: settings.into(), log_filter }))
+}
+
+fn parse_explain(args: &[String]) -> Result<Command, UsageError> {
+    match args {
+        [id, logs @ ..] if !id.starts_with('-') => {
+            Ok(Command::Explain { id: id.clone(), logs: logs.iter().map(PathBuf::from).collect() })
+        }
+        _ => Err(UsageError::Arguments("explain needs the ID of a request".to_owned())),
+    }
 }
 
 fn operator_flags() -> getopts::Options {
--- /dev/null
+++ b/src/explain.rs
@@ -0,0 +1,179 @@
+//! Tells the story of one request from the log lines of several instances.
+
+use std::fmt;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader, Write};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use serde_json::{Map, Value};
+use time::OffsetDateTime;
+use time::format_description::well_known::Rfc3339;
+
+use crate::gateway::record::{REQUEST_LINE, SEND_LINE};
+
+/// Time before a request came in which the causes of its fate are looked for: backend servers that
+/// break are left out for up to 5 s, and entries of dead ones lapse after some seconds.
+const BEFORE: Duration = Duration::from_secs(10);
+/// Fields that every line has and that are shown otherwise.
+const SHOWN_FIRST: [&str; 5] = ["timestamp", "level", "target", "message", "id"];
+
+/// One log line.
+#[derive(Debug, Clone)]
+struct Line {
+    at: OffsetDateTime,
+    /// Where it was read.
+    source: Arc<str>,
+    /// Part of the program that wrote it.
+    target: String,
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    /// Reads a line; none if it is not one of ours.
+    fn parse(source: &Arc<str>, text: &str) -> Option<Self> {
+        // What the bench or a collector writes before the line is passed over.
+        let start = text.find('{')?;
+        let fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
+        let at = OffsetDateTime::parse(fields.get("timestamp")?.as_str()?, &Rfc3339).ok()?;
+        let target = fields.get("target")?.as_str()?.to_owned();
+        Some(Self { at, source: source.clone(), target, fields })
+    }
+
+    fn text(&self, field: &str) -> &str {
+        self.fields.get(field).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    /// Returns whether it is about a request, and not about what the instance believes.
+    fn is_of_request(&self) -> bool {
+        [REQUEST_LINE, SEND_LINE].contains(&self.target.as_str())
+    }
+
+    /// Returns when the request of this line came, if it tells so.
+    fn began(&self) -> OffsetDateTime {
+        let took = self.fields.get("took_ms").and_then(Value::as_u64).unwrap_or_default();
+        self.at - Duration::from_millis(took)
+    }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let at = self.at.format(&Rfc3339).map_err(|_| fmt::Error)?;
+        let what = match self.text("message") {
+            "" => self.target.as_str(),
+            message => message,
+        };
+        write!(f, "{at} {} {what}", self.source)?;
+        let rest = self.fields.iter().filter(|(name, _)| !SHOWN_FIRST.contains(&name.as_str()));
+        for (name, value) in rest.filter(|(_, value)| !value.is_null()) {
+            write!(f, " {name}={value}")?;
+        }
+        Ok(())
+    }
+}
+
+/// The lines that may matter for one request, read from any number of logs.
+#[derive(Debug)]
+pub struct Search {
+    id: String,
+    own: Vec<Line>,
+    /// What instances believed, and its changes.
+    beliefs: Vec<Line>,
+    /// Lines read.
+    pub read: u64,
+    /// Lines that could not be read, which are passed over.
+    pub bad: u64,
+}
+
+impl Search {
+    /// Starts a search for a request.
+    pub fn new(id: impl Into<String>) -> Self {
+        Self { id: id.into(), own: Vec::new(), beliefs: Vec::new(), read: 0, bad: 0 }
+    }
+
+    /// Reads the lines of one log, named `source` in the story.
+    ///
+    /// # Errors
+    /// If the log can't be read to its end.
+    pub fn read(&mut self, source: &str, mut log: impl BufRead) -> io::Result<()> {
+        let source = Arc::from(source);
+        let mut buf = Vec::new();
+        while log.read_until(b'\n', &mut buf)? > 0 {
+            self.take(&source, &String::from_utf8_lossy(&buf));
+            buf.clear();
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, source: &Arc<str>, text: &str) {
+        if text.trim().is_empty() {
+            return;
+        }
+        self.read += 1;
+        match Line::parse(source, text) {
+            None => self.bad += 1,
+            Some(line) if line.text("id") == self.id => self.own.push(line),
+            Some(line) if line.is_of_request() => {}
+            Some(line) => self.beliefs.push(line),
+        }
+    }
+
+    /// Returns the request's own lines and, around them, what changed at its instances, and
+    /// anywhere with the backend servers that it was sent to; oldest first.
+    ///
+    /// The order between instances is the one of their clocks.
+    pub fn story(self) -> Vec<String> {
+        let began = self.own.iter().map(Line::began).min();
+        let ended = self.own.iter().map(|line| line.at).max();
+        let Some((began, ended)) = began.zip(ended) else { return Vec::new() };
+        let window = began - BEFORE..=ended;
+        let matters = |line: &Line| {
+            let server = line.text("server");
+            let is_involved = self.own.iter().any(|own| names_server(own, server));
+            let is_here = self.own.iter().any(|own| own.source == line.source);
+            window.contains(&line.at) && (is_involved || (is_here && server.is_empty()))
+        };
+        let mut lines: Vec<Line> = self.beliefs.iter().filter(|l| matters(l)).cloned().collect();
+        lines.extend(self.own);
+        lines.sort_by_key(|line| line.at);
+        lines.iter().map(Line::to_string).collect()
+    }
+}
+
+/// Returns whether a line of a request says that it was sent to a backend server.
+fn names_server(line: &Line, server: &str) -> bool {
+    let sends = line.text("sends").split("; ");
+    let mut names = sends.filter_map(|send| send.split_once('@')).map(|(name, _)| name);
+    !server.is_empty() && (line.text("server") == server || names.any(|name| name == server))
+}
+
+/// Prints the story of a request from log files, or from standard input if there are none.
+///
+/// # Errors
+/// If a file can't be read, or no line is about the request.
+pub fn run(id: &str, files: &[PathBuf]) -> eyre::Result<()> {
+    let mut search = Search::new(id);
+    if files.is_empty() {
+        search.read("stdin", io::stdin().lock()).wrap_err("standard input")?;
+    }
+    for path in files {
+        let file = File::open(path).wrap_err_with(|| path.display().to_string())?;
+        let read = search.read(&source_name(path), BufReader::new(file));
+        read.wrap_err_with(|| path.display().to_string())?;
+    }
+    let (read, bad) = (search.read, search.bad);
+    let story = search.story();
+    if story.is_empty() {
+        eyre::bail!("no line is about request {id}: {read} lines read, {bad} of them unreadable");
+    }
+    let mut out = io::stdout().lock();
+    story.iter().try_for_each(|line| writeln!(out, "{line}"))?;
+    writeln!(out, "{read} lines read, {bad} of them unreadable")?;
+    Ok(())
+}
+
+fn source_name(path: &Path) -> String {
+    path.file_stem().map_or_else(|| path.display().to_string(), |s| s.to_string_lossy().into())
+}
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -67,23 +67,25 @@
 ) -> Result<Job, Refusal> {
     let catalog = cx.catalog();
     if catalog.version == 0 {
+        record.refused_because("no configuration is known yet");
         return Err(UNSERVED);
     }
     let route = find_route(&catalog, &req).ok_or(Refusal::NoRoute)?;
-    let organisation = authenticate(cx, &catalog, &route, head.key.as_deref())?;
+    let organisation = authenticate(cx, &catalog, &route, head.key.as_deref(), record)?;
     let name = organisation.as_ref().map(|organisation| organisation.name.as_str());
     record.admitted(&route.name, name, route.target);
     let (parts, body) = req.into_parts();
     let body = read_body(body, catalog.limits.max_body).await?;
     head.demand.body_bytes = body.len();
-    let service = route
-        .pick_service(rand::random())
-        .and_then(|name| catalog.service(name))
-        .ok_or(UNSERVED)?
-        .clone();
+    let service = route.pick_service(rand::random()).and_then(|name| catalog.service(name));
+    let Some(service) = service.cloned() else {
+        record.refused_because("the configuration has no service for the route");
+        return Err(UNSERVED);
+    };
     let patience = head.patience.unwrap_or(DEFAULT_PATIENCE).min(route.timeout);
     let give_up_at = arrived + patience;
     if !cx.takes(give_up_at) {
+        record.refused_because("this process stops before the request may have ended");
         return Err(Refusal::NotRun { retry_after_s: RETRY_AFTER_LEAVING_S });
     }
     cx.note_request(&service, &head.demand);
@@ -114,11 +116,13 @@
     catalog: &Catalog,
     route: &Route,
     key: Option<&str>,
+    record: &Record,
 ) -> Result<Option<std::sync::Arc<Organisation>>, Refusal> {
     if route.is_public || !catalog.needs_keys() {
         return Ok(None);
     }
     if !cx.keys_are_proved() {
+        record.refused_because("keys can't be proved to count");
         return Err(UNPROVED);
     }
     let organisation = key.and_then(|key| catalog.organisation(key));
@@ -142,13 +146,16 @@
     let mut tries = Tries::default();
     loop {
         if let Err(refusal) = check_again(cx, job) {
+            record.refused_because("the key was withdrawn, or can't be proved to count");
             return Err(tries.give_up(job, refusal));
         }
         let demand = &job.head.demand;
         let Some((choice, server)) = cx.choose(&job.service, demand, &tries.tried) else {
+            record.refused_because("no backend server is left that takes it");
             return Err(tries.give_up(job, UNSERVED));
         };
         if tries.must_pay && !cx.take_repeat(&job.service.name) {
+            record.refused_because("the budget of repeats is used up");
             return Err(tries.give_up(job, UNSERVED));
         }
         record.sent(&choice);
@@ -188,6 +195,7 @@
             }
         }
         if !tries.may_go_on(job) {
+            record.refused_because("it may not be sent again");
             return Err(tries.give_up(job, UNSERVED));
         }
         cx.metrics.add(Counter::Retried, job.service.name.as_str(), 1);
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -11,8 +11,12 @@
 
 use super::shared::Shared;
 
-/// Sends that a line shows; later ones are counted only.
-const MAX_SENDS_SHOWN: usize = 4;
+/// Target of the line of a request, written when it ends.
+pub const REQUEST_LINE: &str = "request";
+/// Target of the line of a send that did not lead to the answer.
+pub const SEND_LINE: &str = "send";
+/// Sends that a line shows: all that find a server at once, and the misses before.
+const MAX_SENDS_SHOWN: usize = 8;
 
 /// What happened to one request so far.
 pub struct Record {
@@ -30,6 +34,10 @@
     proof_age: Option<Duration>,
     target: Duration,
     sends: Vec<String>,
+    /// The send that has not ended.
+    current: Option<(Choice, Instant)>,
+    more_sends: u32,
+    why: Option<&'static str>,
     first: Option<Duration>,
     outcome: Option<String>,
     status: u16,
@@ -54,24 +62,52 @@
         fields.target = target;
     }
 
-    /// Notes a send with the cost that decided it.
+    /// Notes a send with the figures that decided it.
     pub fn sent(&self, choice: &Choice) {
         let mut fields = self.fields.borrow_mut();
-        if fields.sends.len() < MAX_SENDS_SHOWN {
-            let at = self.arrived.elapsed().as_millis();
-            let text = format!("{}@{at}ms cost={:.0}", choice.server, choice.cost_ms);
-            fields.sends.push(text);
+        fields.current = Some((choice.clone(), Instant::now()));
+        if fields.sends.len() == MAX_SENDS_SHOWN {
+            fields.more_sends += 1;
+            return;
         }
+        let at = self.arrived.elapsed().as_millis();
+        let Choice { server, cost_ms, occupied, load_age, .. } = choice;
+        let age = match load_age {
+            Some(age) => format!("told {} ms before", age.as_millis()),
+            None => "own count".to_owned(),
+        };
+        fields.sends.push(format!("{server}@{at}ms cost={cost_ms:.0} load={occupied} ({age})"));
     }
 
-    /// Notes how the last send ended.
+    /// Notes how the last send ended, other than by the answer; this has a line of its own, which
+    /// is there also if the process ends before the request does.
     pub fn send_ended(&self, how: &str) {
-        if let Some(last) = self.fields.borrow_mut().sends.last_mut() {
+        let mut fields = self.fields.borrow_mut();
+        if let Some((choice, since)) = fields.current.take() {
+            tracing::info!(
+                target: SEND_LINE,
+                id = self.id,
+                server = %choice.server,
+                cost_ms = choice.cost_ms.round(),
+                load = choice.occupied,
+                load_age_ms = choice.load_age.map(|age| age.as_millis() as u64),
+                took_ms = since.elapsed().as_millis() as u64,
+                how
+            );
+        }
+        if fields.more_sends == 0
+            && let Some(last) = fields.sends.last_mut()
+        {
             last.push_str(": ");
             last.push_str(how);
         }
     }
 
+    /// Notes why the request is not sent, or not sent again.
+    pub fn refused_because(&self, why: &'static str) {
+        self.fields.borrow_mut().why = Some(why);
+    }
+
     /// Notes the first event or the whole answer.
     pub fn first(&self) {
         let mut fields = self.fields.borrow_mut();
@@ -92,17 +128,19 @@
         let route = fields.route.as_ref().map_or("none", RouteName::as_str);
         let outcome = fields.outcome.as_deref().unwrap_or("the caller left");
         tracing::info!(
-            target: "request",
+            target: REQUEST_LINE,
             id = self.id,
             route,
             organisation = fields.organisation.as_deref().unwrap_or("none"),
             config = fields.config,
             proof_age_ms = fields.proof_age.map(|age| age.as_millis() as u64),
             sends = fields.sends.join("; "),
+            more_sends = fields.more_sends,
             first_ms = fields.first.map(|first| first.as_millis() as u64),
             took_ms = self.arrived.elapsed().as_millis() as u64,
             status = fields.status,
-            outcome
+            outcome,
+            why = fields.why
         );
         let metrics = &self.cx.metrics;
         if (200..300).contains(&fields.status) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod context;
 pub mod entry;
 pub mod event;
+pub mod explain;
 pub mod gateway;
 pub mod home;
 pub mod lease;
--- a/src/log.rs
+++ b/src/log.rs
@@ -34,12 +34,12 @@
 
 /// Starts to write JSON lines to standard output from a thread of their own.
 ///
-/// Lines are dropped when the reader is too slow, so that logging never blocks. The returned
-/// guard writes the waiting lines when it is dropped.
+/// Lines are dropped when the reader is too slow, so that logging never blocks.
 ///
 /// # Errors
-/// Fails if logging was set up before.
-pub fn start_json() -> eyre::Result<WorkerGuard> {
+/// Fails if the filter is malformed or logging was set up before.
+pub fn start_json(filter: &str) -> eyre::Result<WorkerGuard> {
+    let filter = EnvFilter::try_new(filter)?;
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(MAX_WAITING_LINES)
         .lossy(true)
@@ -49,7 +49,7 @@
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
-        .with_max_level(tracing::Level::INFO)
+        .with_env_filter(filter)
         .with_writer(writer)
         .try_init()
         .map_err(|error| eyre::eyre!("logging can't be set up: {error}"))?;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,10 +2,12 @@
 
 use std::process::ExitCode;
 
-use laburnumvalve::cli::{self, Command, EXIT_DONE, EXIT_FAILED, EXIT_USAGE, UsageError};
+use laburnumvalve::cli::{
+    self, Command, EXIT_DONE, EXIT_FAILED, EXIT_USAGE, GatewayStart, UsageError,
+};
 use laburnumvalve::options::{Options, SETTINGS};
 use laburnumvalve::serve::{self, Sockets};
-use laburnumvalve::{gateway, log, operate};
+use laburnumvalve::{explain, gateway, log, operate};
 use tokio::runtime::Runtime;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -27,7 +29,8 @@
         Command::Print(text) => print!("{text}"),
         Command::ServeCheck(options) => print_settings(&options),
         Command::Serve(options) => Runtime::new()?.block_on(serve(*options))?,
-        Command::Gateway(settings) => run_gateway(settings)?,
+        Command::Gateway(start) => run_gateway(start)?,
+        Command::Explain { id, logs } => explain::run(&id, &logs)?,
         Command::Operate(operation, reach) => {
             Runtime::new()?.block_on(operate::run(operation, reach))?
         }
@@ -36,11 +39,11 @@
 }
 
 /// Runs a gateway on one thread: its machines have a fraction of a core.
-fn run_gateway(settings: std::path::PathBuf) -> eyre::Result<()> {
-    let _writer = log::start_json()?;
+fn run_gateway(start: GatewayStart) -> eyre::Result<()> {
+    let _writer = log::start_json(&start.log_filter)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let tasks = tokio::task::LocalSet::new();
-    runtime.block_on(tasks.run_until(gateway::run::run(settings)))
+    runtime.block_on(tasks.run_until(gateway::run::run(start.settings)))
 }
 
 fn print_settings(options: &Options) {
--- a/src/options.rs
+++ b/src/options.rs
@@ -5,6 +5,9 @@
 
 use crate::names::{DataCentreName, InstanceName};
 
+/// Environment variable with the filter of log lines.
+pub const LOG_ENV: &str = "LABURNUMVALVE_LOG";
+
 /// A secret text that is never printed.
 #[derive(Clone, Default, PartialEq, Eq)]
 pub struct Secret(String);
@@ -401,7 +404,7 @@
     },
     Setting {
         flag: "log",
-        env: "LABURNUMVALVE_LOG",
+        env: LOG_ENV,
         hint: "FILTER",
         help: "Filter of the log lines, such as info or laburnumvalve=debug",
         secret: false,
@@ -522,7 +525,11 @@
     }
 }
 
-fn read_filter(text: &str) -> Result<String, &'static str> {
+/// Reads a filter of log lines.
+///
+/// # Errors
+/// Says what is allowed.
+pub fn read_filter(text: &str) -> Result<String, &'static str> {
     tracing_subscriber::EnvFilter::try_new(text)
         .map(|_| text.to_owned())
         .map_err(|_| "a filter such as info or laburnumvalve=debug")
--- a/src/routing/choose.rs
+++ b/src/routing/choose.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::names::{BackendServerName, DataCentreName};
 use crate::routing::fleet::Server;
@@ -93,6 +93,10 @@
     pub reading: u64,
     /// Its cost in ms, for logs.
     pub cost_ms: f64,
+    /// Requests that it was taken to run and to have waiting, for logs.
+    pub occupied: u32,
+    /// Age of the load that it told itself; none if only this instance's own requests counted.
+    pub load_age: Option<Duration>,
 }
 
 /// Chooses among the given backend servers.
@@ -217,5 +221,6 @@
     }
     // Spreads equal costs, so that instances do not all take the first one.
     cost_ms += rand::random::<f64>();
-    Choice { server: server.entry.name.clone(), reading, cost_ms }
+    let load_age = load.and_then(|load| load.told_age(now));
+    Choice { server: server.entry.name.clone(), reading, cost_ms, occupied, load_age }
 }
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -93,15 +93,25 @@
 
     /// Returns an estimate of the requests that run and wait there.
     pub fn occupied(&self, now: Instant) -> u32 {
-        let told = self.told.filter(|(_, at)| now.duration_since(*at) < REPORT_LIFE);
+        let told = self.fresh_told(now);
         let told = told.map_or(0, |(load, _)| load.running + load.waiting + self.sent_since_told);
         told.max(self.in_flight)
     }
 
     /// Returns the requests that waited there when it last told its load.
     pub fn waiting(&self, now: Instant) -> u32 {
-        let told = self.told.filter(|(_, at)| now.duration_since(*at) < REPORT_LIFE);
-        told.map_or(0, |(load, _)| load.waiting)
+        self.fresh_told(now).map_or(0, |(load, _)| load.waiting)
+    }
+
+    /// Returns the age of the load that it told, if that still counts.
+    pub fn told_age(&self, now: Instant) -> Option<Duration> {
+        self.fresh_told(now).map(|(_, age)| age)
+    }
+
+    fn fresh_told(&self, now: Instant) -> Option<(ToldLoad, Duration)> {
+        let (load, at) = self.told?;
+        let age = now.duration_since(at);
+        (age < REPORT_LIFE).then_some((load, age))
     }
 
     /// Returns whether a prompt part was sent there recently.
--- /dev/null
+++ b/tests/gateway/logs.rs
@@ -0,0 +1,84 @@
+//! Log lines: what they say of a request, and a reader that is too slow.
+
+use std::time::{Duration, Instant};
+
+use futures::future::join_all;
+use serde_json::Value;
+
+use crate::support::instance::{ATTEMPT, InstanceSettings, LogTo};
+use crate::support::{
+    Fault, Instance, Runner, StandInStore, config, eventually, stand_ins,
+};
+
+/// Requests that fill the pipe (64 KiB) and the queue (4,096 lines) several times over.
+const MANY: usize = 16_000;
+/// Callers that ask at once.
+const CALLERS: usize = 16;
+/// Time in which a route of the test configuration is to answer.
+const TARGET: Duration = Duration::from_millis(200);
+
+/// Asks for a path that has no route, which costs one line each.
+async fn ask_many(instance: &Instance) {
+    let caller = async |_: usize| {
+        for _ in 0..MANY / CALLERS {
+            let rsp = instance.request("/none/1", "key").send().await.expect("it is answered");
+            assert_eq!(rsp.status(), 404);
+        }
+    };
+    join_all((0..CALLERS).map(caller)).await;
+}
+
+#[tokio::test]
+async fn a_log_that_nobody_reads_neither_slows_nor_stops_requests() {
+    let (store, _runner) = stand_ins(&["key"]).await;
+    let cfg = InstanceSettings { store: store.address, log: LogTo::Unread, ..Default::default() };
+    let instance = Instance::start(cfg).await;
+
+    ask_many(&instance).await;
+    let mut slowest = Duration::ZERO;
+    for _ in 0..50 {
+        let asked = Instant::now();
+        let rsp = instance.request("/booking/1", "key").send().await.expect("it is answered");
+        assert_eq!(rsp.status(), 200);
+        slowest = slowest.max(asked.elapsed());
+    }
+
+    let metrics = instance.metrics().await;
+    let mut lines = metrics.lines();
+    let dropped = lines.find(|line| line.starts_with("laburnumvalve_log_lines_dropped"));
+    let dropped = dropped.and_then(|line| line.split(' ').nth(1)).expect("it is counted");
+    assert!(dropped.parse::<u64>().expect("it is a number") > 0, "the log was not blocked");
+    assert!(slowest < TARGET, "{slowest:?}");
+}
+
+/// Returns the lines of a log that are about the request of a test.
+fn lines_of_request(log: &std::path::Path) -> Vec<Value> {
+    let text = std::fs::read_to_string(log).expect("there is a log");
+    let lines = text.lines().map(|line| serde_json::from_str(line).expect("it is JSON"));
+    lines.filter(|line: &Value| line["id"] == ATTEMPT).collect()
+}
+
+#[tokio::test]
+async fn a_refused_request_leaves_a_line_of_each_send_and_of_the_reason() {
+    let store = StandInStore::start().await;
+    store.put("config", "main", config(1, &["key"]));
+    let full = Runner::start("full").await;
+    full.set_fault(Fault::Full);
+    store.put("servers", "full", full.entry());
+    let log = tempfile::NamedTempFile::new().expect("a file can be made");
+    let to = LogTo::File(log.path().to_owned());
+    let cfg = InstanceSettings { store: store.address, log: to, ..Default::default() };
+    let instance = Instance::start(cfg).await;
+
+    instance.request("/lookup/1", "key").send().await.expect("it is answered");
+
+    eventually("both lines are written", || async { lines_of_request(log.path()).len() == 2 })
+        .await;
+    let lines = lines_of_request(log.path());
+    assert_eq!((&lines[0]["server"], &lines[0]["how"]), (&"full".into(), &"not run".into()));
+    assert!(lines[0]["cost_ms"].is_number() && lines[0]["load"].is_number(), "{}", lines[0]);
+    assert_eq!(lines[1]["why"], "no backend server is left that takes it");
+    assert_eq!((&lines[1]["status"], &lines[1]["config"]), (&503.into(), &1.into()));
+    let text = std::fs::read_to_string(log.path()).expect("there is a log");
+    assert!(!text.contains("\"key\""), "a key is in the log");
+}
--- a/tests/gateway/soak/world.rs
+++ b/tests/gateway/soak/world.rs
@@ -11,7 +11,7 @@
 use standins::Relay;
 
 use super::history::{Book, Change};
-use crate::support::instance::InstanceSettings;
+use crate::support::instance::{InstanceSettings, LogTo};
 use crate::support::{Instance, Runner, StandInStore, config, full, serve};
 
 /// Time within which a withdrawn key must not work any more.
@@ -124,7 +124,7 @@
                 store: way.address(),
                 duties: Some(duties),
                 revoke_ms: REVOKE.as_millis() as u64,
-                log: Some(world.logs.join(format!("instance-{number}.log"))),
+                log: LogTo::File(world.logs.join(format!("instance-{number}.log"))),
                 bounds: format!(
                     "bounds.retry-budget-ratio={BUDGET_RATIO}\nbounds.budget-slack={BUDGET_SLACK}\n\
                      bounds.usage-window-s=2\n"
--- a/tests/gateway/support/instance.rs
+++ b/tests/gateway/support/instance.rs
@@ -18,7 +18,7 @@
 pub struct Instance {
     child: Child,
     settings: NamedTempFile,
-    log: Option<PathBuf>,
+    log: LogTo,
     /// Where it accepts callers.
     pub callers: SocketAddr,
     /// Where it accepts peers.
@@ -28,6 +28,31 @@
     client: reqwest::Client,
 }
 
+/// Where the log lines of an instance go.
+#[derive(Debug, Clone, Default)]
+pub enum LogTo {
+    /// Nowhere.
+    #[default]
+    Nowhere,
+    /// To the end of a file.
+    File(PathBuf),
+    /// Into a pipe that nobody reads, so that writing to it blocks when it is full.
+    Unread,
+}
+
+impl LogTo {
+    fn open(&self) -> Stdio {
+        match self {
+            Self::Nowhere => Stdio::null(),
+            Self::File(path) => {
+                let file = File::options().create(true).append(true).open(path);
+                file.expect("the log can be written").into()
+            }
+            Self::Unread => Stdio::piped(),
+        }
+    }
+}
+
 /// Settings of a test instance.
 #[derive(Debug, Clone)]
 pub struct InstanceSettings {
@@ -43,8 +68,8 @@
     pub revoke_ms: u64,
     /// More lines of its settings.
     pub bounds: String,
-    /// Where its log lines go; nowhere if unset.
-    pub log: Option<PathBuf>,
+    /// Where its log lines go.
+    pub log: LogTo,
 }
 
 impl Default for InstanceSettings {
@@ -56,20 +81,16 @@
             duties: None,
             revoke_ms: 5_000,
             bounds: String::new(),
-            log: None,
+            log: LogTo::Nowhere,
         }
     }
 }
 
-fn start_process(settings: &Path, log: Option<&Path>) -> Child {
-    let output = log.map_or_else(Stdio::null, |path| {
-        let file = File::options().create(true).append(true).open(path);
-        file.expect("the log can be written").into()
-    });
+fn start_process(settings: &Path, log: &LogTo) -> Child {
     Command::new(env!("CARGO_BIN_EXE_laburnumvalve"))
         .args(["gateway", "--settings"])
         .arg(settings)
-        .stdout(output)
+        .stdout(log.open())
         .stderr(Stdio::inherit())
         .spawn()
         .expect("the program starts")
@@ -97,7 +118,7 @@
         text.push_str(&cfg.bounds);
         let settings = NamedTempFile::new().expect("a file can be made");
         std::fs::write(settings.path(), text).expect("the file can be written");
-        let child = start_process(settings.path(), cfg.log.as_deref());
+        let child = start_process(settings.path(), &cfg.log);
         let client = reqwest::Client::builder().no_proxy().build().expect("the client is built");
         let instance = Self {
             child,
@@ -115,7 +136,7 @@
 
     /// Starts the process again after it ended.
     pub fn restart(&mut self) {
-        self.child = start_process(self.settings.path(), self.log.as_deref());
+        self.child = start_process(self.settings.path(), &self.log);
     }
 
     /// Kills the process at once.
