End a process also when nobody reads its log lines

Cause: a process told to stop did not end while its standard output was blocked: with a full queue the guard of the log writer reports the failure on standard output itself and waits for good, until the platform kills the process. Change: the guard is dropped on a thread for which the process waits at most a second. Test: a_log_that_nobody_reads_neither_slows_nor_stops_requests, red before ('it does not end' within 10 s), green after.

--- a/src/log.rs
+++ b/src/log.rs
@@ -1,6 +1,7 @@
 //! Log output, set up once at the start of the process.
 
-use std::sync::OnceLock;
+use std::sync::{OnceLock, mpsc};
+use std::time::Duration;
 
 use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
@@ -32,13 +33,36 @@
 /// Lines that wait to be written; further ones are dropped.
 const MAX_WAITING_LINES: usize = 4_096;
 
+/// Time at the end of the process for the lines that wait; a reader that is so slow loses them.
+const LAST_LINES_TIME: Duration = Duration::from_secs(1);
+
+/// Keeps the writer of JSON lines alive; when dropped, it writes the lines that wait.
+#[derive(Debug)]
+pub struct LogWriter(Option<WorkerGuard>);
+
+impl Drop for LogWriter {
+    fn drop(&mut self) {
+        let guard = self.0.take();
+        let (tx, written) = mpsc::channel();
+        // The guard blocks for good if nobody reads the lines, so it is dropped on a thread that
+        // the end of the process doesn't wait for.
+        std::thread::spawn(move || {
+            drop(guard);
+            // Nobody listens any more if it took too long.
+            let _ = tx.send(());
+        });
+        // Both outcomes mean that the process may end.
+        let _ = written.recv_timeout(LAST_LINES_TIME);
+    }
+}
+
 /// Starts to write JSON lines to standard output from a thread of their own.
 ///
 /// Lines are dropped when the reader is too slow, so that logging never blocks.
 ///
 /// # Errors
 /// Fails if the filter is malformed or logging was set up before.
-pub fn start_json(filter: &str) -> eyre::Result<WorkerGuard> {
+pub fn start_json(filter: &str) -> eyre::Result<LogWriter> {
     let filter = EnvFilter::try_new(filter)?;
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(MAX_WAITING_LINES)
@@ -53,5 +77,5 @@
         .with_writer(writer)
         .try_init()
         .map_err(|error| eyre::eyre!("logging can't be set up: {error}"))?;
-    Ok(guard)
+    Ok(LogWriter(Some(guard)))
 }
--- a/tests/gateway/logs.rs
+++ b/tests/gateway/logs.rs
@@ -7,7 +7,7 @@
 
 use crate::support::instance::{ATTEMPT, InstanceSettings, LogTo};
 use crate::support::{
-    Fault, Instance, Runner, StandInStore, config, eventually, stand_ins,
+    Fault, Instance, PATIENCE, Runner, StandInStore, config, eventually, stand_ins,
 };
 
 /// Requests that fill the pipe (64 KiB) and the queue (4,096 lines) several times over.
@@ -32,7 +32,7 @@
 async fn a_log_that_nobody_reads_neither_slows_nor_stops_requests() {
     let (store, _runner) = stand_ins(&["key"]).await;
     let cfg = InstanceSettings { store: store.address, log: LogTo::Unread, ..Default::default() };
-    let instance = Instance::start(cfg).await;
+    let mut instance = Instance::start(cfg).await;
 
     ask_many(&instance).await;
     let mut slowest = Duration::ZERO;
@@ -49,6 +49,12 @@
     let dropped = dropped.and_then(|line| line.split(' ').nth(1)).expect("it is counted");
     assert!(dropped.parse::<u64>().expect("it is a number") > 0, "the log was not blocked");
     assert!(slowest < TARGET, "{slowest:?}");
+    instance.terminate();
+    let told = Instant::now();
+    while !instance.has_ended() {
+        assert!(told.elapsed() < PATIENCE, "it does not end");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
 }
 
 /// Returns the lines of a log that are about the request of a test.
