Log each send when it is made

Change: the line of a send is written at the send, with the figures that chose the server; a line of its end follows if it was not the answer. explain takes a collected log, whose lines begin with the instance. Test: a_refused_request_leaves_a_line_of_each_send_and_of_the_reason.

--- a/src/explain.rs
+++ b/src/explain.rs
@@ -24,7 +24,7 @@
 #[derive(Debug, Clone)]
 struct Line {
     at: OffsetDateTime,
-    /// Where it was read.
+    /// The instance that wrote it, or else the log that it was read from.
     source: Arc<str>,
     /// Part of the program that wrote it.
     target: String,
@@ -34,12 +34,13 @@
 impl Line {
     /// Reads a line; none if it is not one of ours.
     fn parse(source: &Arc<str>, text: &str) -> Option<Self> {
-        // What the bench or a collector writes before the line is passed over.
-        let start = text.find('{')?;
-        let fields: Map<String, Value> = serde_json::from_str(&text[start..]).ok()?;
+        let (prefix, json) = text.split_at(text.find('{')?);
+        let fields: Map<String, Value> = serde_json::from_str(json).ok()?;
         let at = OffsetDateTime::parse(fields.get("timestamp")?.as_str()?, &Rfc3339).ok()?;
         let target = fields.get("target")?.as_str()?.to_owned();
-        Some(Self { at, source: source.clone(), target, fields })
+        // A log collected from several instances names the instance before the line.
+        let collected = prefix.split_whitespace().next_back().map(Arc::from);
+        Some(Self { at, source: collected.unwrap_or_else(|| source.clone()), target, fields })
     }
 
     fn text(&self, field: &str) -> &str {
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -6,14 +6,14 @@
 
 use crate::clock::BootTime;
 use crate::metrics::{Counter, Timing};
-use crate::names::RouteName;
+use crate::names::{BackendServerName, RouteName};
 use crate::routing::choose::Choice;
 
 use super::shared::Shared;
 
 /// Target of the line of a request, written when it ends.
 pub const REQUEST_LINE: &str = "request";
-/// Target of the line of a send that did not lead to the answer.
+/// Target of the lines of a send.
 pub const SEND_LINE: &str = "send";
 /// Sends that a line shows: all that find a server at once, and the misses before.
 const MAX_SENDS_SHOWN: usize = 8;
@@ -35,7 +35,7 @@
     target: Duration,
     sends: Vec<String>,
     /// The send that has not ended.
-    current: Option<(Choice, Instant)>,
+    current: Option<(BackendServerName, Instant)>,
     more_sends: u32,
     why: Option<&'static str>,
     first: Option<Duration>,
@@ -62,38 +62,37 @@
         fields.target = target;
     }
 
-    /// Notes a send with the figures that decided it.
+    /// Notes a send with the figures that decided it; this has a line of its own, which is there
+    /// also if the process ends before the request does.
     pub fn sent(&self, choice: &Choice) {
         let mut fields = self.fields.borrow_mut();
-        fields.current = Some((choice.clone(), Instant::now()));
+        let after = self.arrived.elapsed().as_millis() as u64;
+        let Choice { server, cost_ms, occupied, load_age, .. } = choice;
+        tracing::info!(
+            target: SEND_LINE,
+            id = self.id,
+            %server,
+            after_ms = after,
+            cost_ms = cost_ms.round(),
+            load = occupied,
+            load_age_ms = load_age.map(|age| age.as_millis() as u64),
+            config = fields.config,
+            "sent"
+        );
+        fields.current = Some((server.clone(), Instant::now()));
         if fields.sends.len() == MAX_SENDS_SHOWN {
             fields.more_sends += 1;
-            return;
+        } else {
+            fields.sends.push(format!("{server}@{after}ms"));
         }
-        let at = self.arrived.elapsed().as_millis();
-        let Choice { server, cost_ms, occupied, load_age, .. } = choice;
-        let age = match load_age {
-            Some(age) => format!("told {} ms before", age.as_millis()),
-            None => "own count".to_owned(),
-        };
-        fields.sends.push(format!("{server}@{at}ms cost={cost_ms:.0} load={occupied} ({age})"));
     }
 
-    /// Notes how the last send ended, other than by the answer; this has a line of its own, which
-    /// is there also if the process ends before the request does.
+    /// Notes how the last send ended, other than by the answer.
     pub fn send_ended(&self, how: &str) {
         let mut fields = self.fields.borrow_mut();
-        if let Some((choice, since)) = fields.current.take() {
-            tracing::info!(
-                target: SEND_LINE,
-                id = self.id,
-                server = %choice.server,
-                cost_ms = choice.cost_ms.round(),
-                load = choice.occupied,
-                load_age_ms = choice.load_age.map(|age| age.as_millis() as u64),
-                took_ms = since.elapsed().as_millis() as u64,
-                how
-            );
+        if let Some((server, since)) = fields.current.take() {
+            let took_ms = since.elapsed().as_millis() as u64;
+            tracing::info!(target: SEND_LINE, id = self.id, %server, took_ms, how, "send ended");
         }
         if fields.more_sends == 0
             && let Some(last) = fields.sends.last_mut()
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -83,15 +83,16 @@
 }
 
 #[test]
-fn a_line_may_have_a_prefix_and_broken_bytes_harm_only_their_line() {
-    let mut log = format!("valve-3| {}\n", line(0, "request", json!({ "id": "a" }))).into_bytes();
+fn a_collected_line_names_its_instance_and_broken_bytes_harm_only_their_line() {
+    let request = line(0, "request", json!({ "id": "a" }));
+    let mut log = format!("1.25 instance-3 {request}\n").into_bytes();
     log.extend(b"\xff\xfe{\n\n");
 
     let mut search = Search::new("a");
     search.read("own", log.as_slice()).expect("it can be read");
 
     assert_eq!((search.read, search.bad), (2, 1));
-    assert_eq!(search.story().len(), 1);
+    assert_eq!(search.story(), ["2026-12-04T12:00:00Z instance-3 request"]);
 }
 
 /// Runs `explain` with a log on its standard input.
--- a/tests/gateway/logs.rs
+++ b/tests/gateway/logs.rs
@@ -78,13 +78,13 @@
 
     instance.request("/lookup/1", "key").send().await.expect("it is answered");
 
-    eventually("both lines are written", || async { lines_of_request(log.path()).len() == 2 })
-        .await;
-    let lines = lines_of_request(log.path());
-    assert_eq!((&lines[0]["server"], &lines[0]["how"]), (&"full".into(), &"not run".into()));
-    assert!(lines[0]["cost_ms"].is_number() && lines[0]["load"].is_number(), "{}", lines[0]);
-    assert_eq!(lines[1]["why"], "no backend server is left that takes it");
-    assert_eq!((&lines[1]["status"], &lines[1]["config"]), (&503.into(), &1.into()));
+    eventually("all lines are written", || async { lines_of_request(log.path()).len() == 3 }).await;
+    let [sent, ended, request] = lines_of_request(log.path()).try_into().expect("there are three");
+    assert_eq!((&sent["message"], &sent["server"]), (&"sent".into(), &"full".into()));
+    assert!(sent["cost_ms"].is_number() && sent["load"].is_number(), "{sent}");
+    assert_eq!((&ended["server"], &ended["how"]), (&"full".into(), &"not run".into()));
+    assert_eq!(request["why"], "no backend server is left that takes it");
+    assert_eq!((&request["status"], &request["config"]), (&503.into(), &1.into()));
     let text = std::fs::read_to_string(log.path()).expect("there is a log");
     assert!(!text.contains("\"key\""), "a key is in the log");
 }
