--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -71,9 +71,11 @@
         return Err(UNSERVED);
     }
     let route = find_route(&catalog, &req).ok_or(Refusal::NoRoute)?;
+    record.found_route(&route.name, route.target);
     let organisation = authenticate(cx, &catalog, &route, head.key.as_deref(), record)?;
-    let name = organisation.as_ref().map(|organisation| organisation.name.as_str());
-    record.admitted(&route.name, name, route.target);
+    if let Some(organisation) = &organisation {
+        record.found_organisation(&organisation.name);
+    }
     let (parts, body) = req.into_parts();
     let body = read_body(body, catalog.limits.max_body).await?;
     head.demand.body_bytes = body.len();
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::BootTime;
 use crate::metrics::{Counter, Timing};
-use crate::names::{BackendServerName, RouteName};
+use crate::names::{BackendServerName, OrganisationName, RouteName};
 use crate::routing::choose::Choice;
 
 use super::shared::Shared;
@@ -29,7 +29,7 @@
 #[derive(Default)]
 struct Fields {
     route: Option<RouteName>,
-    organisation: Option<String>,
+    organisation: Option<OrganisationName>,
     config: u64,
     proof_age: Option<Duration>,
     target: Duration,
@@ -54,14 +54,18 @@
         Rc::new(Self { cx, arrived, id, fields: RefCell::new(fields) })
     }
 
-    /// Notes the route, the organisation and the time in which an answer is on time.
-    pub fn admitted(&self, route: &RouteName, organisation: Option<&str>, target: Duration) {
+    /// Notes the route, and the time in which an answer is on time.
+    pub fn found_route(&self, route: &RouteName, target: Duration) {
         let mut fields = self.fields.borrow_mut();
         fields.route = Some(route.clone());
-        fields.organisation = organisation.map(str::to_owned);
         fields.target = target;
     }
 
+    /// Notes whose key the request has.
+    pub fn found_organisation(&self, organisation: &OrganisationName) {
+        self.fields.borrow_mut().organisation = Some(organisation.clone());
+    }
+
     /// Notes a send with the figures that decided it; this has a line of its own, which is there
     /// also if the process ends before the request does.
     pub fn sent(&self, choice: &Choice) {
@@ -130,7 +134,7 @@
             target: REQUEST_LINE,
             id = self.id,
             route,
-            organisation = fields.organisation.as_deref().unwrap_or("none"),
+            organisation = fields.organisation.as_ref().map_or("none", OrganisationName::as_str),
             config = fields.config,
             proof_age_ms = fields.proof_age.map(|age| age.as_millis() as u64),
             sends = fields.sends.join("; "),
