Spread the platform's state in a tree of instances

Change: an instance asks its parent in a tree by rank, eight to a parent; parents rank higher in everyone's view, so nobody asks in a circle. A newer proof passes down at once, so that its age does not grow with the ranks. Counts are passed on upwards, only those that the next process has not heard.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,7 +1,8 @@
 //! Passes the platform's state on between instances.
 //!
-//! An instance asks its source with what it knows; the source answers at once if it knows more,
-//! or after a while with the age of its proof. Counts of requests travel the other way.
+//! An instance asks its source with what it knows; the source answers at once if it knows more or
+//! the store turns it away, or when it has a newer proof, or else after a while. Counts of requests travel the other way,
+//! those of instances that ask the asker included.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -22,12 +23,21 @@
 use crate::platform::{Collection, http};
 use crate::routing::members::Member;
 use crate::routing::mirror::Update;
-use crate::routing::windows::Tallies;
+use crate::routing::windows::{Tallies, Told};
 
 /// Path that peers ask.
 const PATH: &str = "/pull";
-/// How long a source holds a question if it knows nothing more.
-const HOLD: Duration = Duration::from_millis(800);
+/// How long a source holds a question if it learns nothing; longer than the time between two
+/// proofs of an instance that reads the store, whose news so pass through all ranks at once.
+const HOLD: Duration = Duration::from_millis(1_000);
+/// How long an instance that others ask lets its own question be held: it passes their counts on,
+/// which must reach the store through three ranks before those of a window are fixed.
+const HOLD_WITH_ASKERS: Duration = Duration::from_millis(300);
+/// Time since the last question for which an instance expects further ones; they come about once
+/// a second.
+const ASKERS_STAY: Duration = Duration::from_secs(3);
+/// Time for which a question is held at least if there is only a newer proof.
+const MIN_HOLD: Duration = Duration::from_millis(200);
 /// Time besides the hold in which a source must answer.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 /// Largest question, in bytes: counts of a few windows.
@@ -50,11 +60,9 @@
 value! {
     /// A question to a source.
     pub struct Question {
-        /// Who asks.
-        pub from: InstanceName,
         /// Revisions that the asker knows.
         pub known: BTreeMap<Collection, u64>,
-        /// Counts of the asker.
+        /// Counts that the asker knows and has not told this source yet.
         pub tallies: Tallies,
         /// Longest time to hold the question, in ms.
         pub hold_ms: u64,
@@ -68,6 +76,9 @@
         pub proof_age_ms: Option<u64>,
         /// How long the question was held, in ms.
         pub held_ms: u64,
+        /// The process that answers; another one has not heard the counts that this one did.
+        #[serde(default)]
+        pub process: String,
         /// Whether the source reads the store itself, and the store turns it away.
         #[serde(default)]
         pub is_turned_away: bool,
@@ -101,21 +112,27 @@
 /// Waits until there is more than the asker knows, or the hold ends.
 async fn reply(cx: &Shared, question: &Question) -> Answer {
     let asked = Instant::now();
+    cx.asked_at.set(Some(asked));
     cx.tallies.borrow_mut().merge(&question.tallies);
     let hold = Duration::from_millis(question.hold_ms).min(HOLD);
+    let known_proof = *cx.proof.borrow();
     let mut changes = cx.changes.subscribe();
     loop {
         changes.mark_unchanged();
         let updates = lacking(cx, &question.known);
-        let left = hold.saturating_sub(asked.elapsed());
+        let held = asked.elapsed();
+        let left = hold.saturating_sub(held);
         let has_news = updates.values().any(|u| u.is_whole || !u.items.is_empty());
-        if has_news || left.is_zero() {
+        let has_proof = held >= MIN_HOLD && *cx.proof.borrow() != known_proof;
+        let is_turned_away = is_turned_away(cx);
+        if has_news || has_proof || is_turned_away || left.is_zero() {
             let proof_age = cx.proof.borrow().age(BootTime::now());
             return Answer {
                 updates,
                 proof_age_ms: proof_age.map(|age| age.as_millis() as u64 + 1),
-                held_ms: asked.elapsed().as_millis() as u64,
-                is_turned_away: is_turned_away(cx),
+                held_ms: held.as_millis() as u64,
+                process: cx.process.clone(),
+                is_turned_away,
             };
         }
         // Both ends of the wait lead to another look.
@@ -142,6 +159,7 @@
     let data_centre = cx.cfg().data_centre.clone();
     let mut direct_until = Instant::now() + DIRECT_TIME;
     let mut failures = 0;
+    let mut told = Told::default();
     loop {
         let now = Instant::now();
         let age = cx.proof.borrow().age(BootTime::now());
@@ -158,8 +176,13 @@
             tokio::time::sleep(LOOK_PERIOD).await;
             continue;
         };
-        let hold = if is_old { Duration::ZERO } else { HOLD };
-        match ask(&cx, &client, &member, hold).await {
+        let has_askers = cx.asked_at.get().is_some_and(|at| at.elapsed() < ASKERS_STAY);
+        let hold = match (is_old, has_askers) {
+            (true, _) => Duration::ZERO,
+            (false, true) => HOLD_WITH_ASKERS,
+            (false, false) => HOLD,
+        };
+        match ask(&cx, &client, &member, hold, &mut told).await {
             Ok(()) => {
                 failures = 0;
                 direct_until = Instant::now();
@@ -210,7 +233,7 @@
     }
 }
 
-/// Asks a peer once, and hands it this instance's counts.
+/// Asks a peer once, and hands it the counts that it has not heard from this instance.
 ///
 /// # Errors
 /// Says why the peer is no use: it does not answer, or its proof is old.
@@ -219,19 +242,20 @@
     client: &reqwest::Client,
     member: &Member,
     hold: Duration,
+    told: &mut Told,
 ) -> Result<(), String> {
     cx.metrics.add(Counter::PeerMessages, "pull", 1);
     let sent_at = BootTime::now();
     let question = Question {
-        from: cx.cfg().instance.clone(),
         known: known(cx),
-        tallies: cx.tallies.borrow().of(&cx.process),
+        tallies: told.lacking(&cx.tallies.borrow()),
         hold_ms: hold.as_millis() as u64,
     };
     let url = format!("http://{}{PATH}", member.address);
     let req = client.post(url).timeout(hold + ANSWER_MARGIN).json(&question);
     let rsp = req.send().await.map_err(|error| http::explain(&error))?;
     let answer: Answer = rsp.json().await.map_err(|error| http::explain(&error))?;
+    told.note(answer.process, &question.tallies);
     let proof_age = answer.proof_age_ms.map(Duration::from_millis);
     if proof_age.is_some_and(|age| age < OLD_PROOF) {
         cx.note_registry(true);
@@ -242,7 +266,7 @@
     let age = proof_age.ok_or("it has no proof")?;
     // The peer's proof is as old as it said when it answered, which was after the hold.
     let proved_at = sent_at.after(Duration::from_millis(answer.held_ms)).before(age);
-    cx.proof.borrow_mut().note(proved_at);
+    cx.note_proof(proved_at);
     if age > OLD_PROOF {
         return Err(format!("its proof is {} ms old", age.as_millis()));
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -67,7 +67,9 @@
     pub members: RefCell<Members>,
     /// Copies of the platform's collections.
     pub mirrors: RefCell<HashMap<Collection, Mirror>>,
-    /// Counts changes of the mirrors.
+    /// When another instance asked this one last.
+    pub asked_at: Cell<Option<Instant>>,
+    /// Counts changes of the mirrors, and newer proofs.
     pub changes: watch::Sender<u64>,
     /// Whether this instance reads the platform's store itself.
     pub reads_store: watch::Sender<bool>,
@@ -105,6 +107,7 @@
             process: format!("{}/{:x}", cfg.instance, rand::random::<u32>()),
             members: RefCell::default(),
             mirrors: RefCell::default(),
+            asked_at: Cell::new(None),
             changes: watch::Sender::new(0),
             reads_store: watch::Sender::new(true),
             cfg: RefCell::new(Rc::new(cfg)),
@@ -269,6 +272,16 @@
         cold.entry(name.clone()).or_default().fits(now, service.cold_per_s, &cfg.cold)
     }
 
+    /// Notes that the known configuration was the newest one at a time.
+    pub fn note_proof(&self, sent_at: BootTime) {
+        let mut proof = self.proof.borrow_mut();
+        let former = *proof;
+        proof.note(sent_at);
+        if *proof != former {
+            self.changes.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Notes a send, for the limits of cold backend servers.
     pub fn note_send(&self, service: &Service, server: &Server) {
         let now = Instant::now();
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -70,7 +70,7 @@
                 Ok(update) => {
                     apply(&self.cx, self.of, &update);
                     if self.of == Collection::Configs {
-                        self.cx.proof.borrow_mut().note(sent_at);
+                        self.cx.note_proof(sent_at);
                     }
                     if self.of == Collection::Servers {
                         let taken = BootTime::now().since(sent_at);
--- a/src/routing/members.rs
+++ b/src/routing/members.rs
@@ -1,9 +1,10 @@
 //! The other instances, and which of them this instance learns the platform's state from.
 //!
-//! In each data centre one instance reads the platform's store, and the others ask it, so that
-//! the calls to the store grow with the data centres and not with the instances. When it fails,
-//! the next one in rank takes its place.
+//! In each data centre one instance reads the platform's store, a few ask it, a few ask each of
+//! these, and so on, so that the calls to the store grow with the data centres and not with the
+//! instances, and no instance answers many. When one fails, the next one in rank takes its place.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -24,6 +25,10 @@
     }
 }
 
+/// Instances that ask the same one. Each asks about 1.2 times a second and gets some 400 bytes if
+/// nothing changed, so that this is half of the 8 kB/s that an instance may spend.
+const FAN_OUT: usize = 8;
+
 /// All registered instances.
 #[derive(Debug, Default)]
 pub struct Members {
@@ -70,7 +75,9 @@
         self.passed_over.insert(name.clone(), now + PASSED_OVER);
     }
 
-    /// Returns the highest instance in the data centre of `me`, if it isn't `me`.
+    /// Returns the instance of the data centre that `me` asks: in a tree by rank, its parent. The
+    /// first one has none. Parents rank higher than those that ask them in everyone's view, so that
+    /// no instances ask in a circle.
     pub fn source(
         &self,
         now: Instant,
@@ -79,10 +86,13 @@
     ) -> Option<(&InstanceName, &Member)> {
         let own = weight(me.as_str(), 0);
         let near = self.all.iter().filter(|(_, member)| member.data_centre == *data_centre);
-        let better = near.filter(|(name, _)| *name != me && weight(name.as_str(), 0) > own);
-        better
+        let mut higher: Vec<_> = near
+            .filter(|(name, _)| *name != me && weight(name.as_str(), 0) > own)
             .filter(|(name, _)| !self.is_passed_over(now, name))
-            .max_by_key(|(name, _)| weight(name.as_str(), 0))
+            .collect();
+        let parent = higher.len().checked_sub(1)? / FAN_OUT;
+        higher.sort_by_cached_key(|(name, _)| Reverse(weight(name.as_str(), 0)));
+        higher.into_iter().nth(parent)
     }
 
     /// Returns another instance at random, for when the store turns this one away; `draw` is
--- a/src/routing/proof.rs
+++ b/src/routing/proof.rs
@@ -10,7 +10,7 @@
 /// The newest proof that the known configuration was in force at some time.
 ///
 /// A call proves the state at the time when it was sent, not when it was answered.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Proof {
     sent_at: Option<BootTime>,
 }
--- a/src/routing/windows.rs
+++ b/src/routing/windows.rs
@@ -11,8 +11,9 @@
 /// Difference between the time of day and the steady clock that counts as a step, not as drift.
 const MAX_DRIFT: Duration = Duration::from_millis(150);
 
-/// Time after the end of a window in which its counts arrive in the store: a publishing period of
-/// a second, a slow call and clocks that differ.
+/// Time after the end of a window in which its counts arrive in the store: a second until an
+/// instance tells them, 0.3 s at each of two ranks that pass them on, a publishing period of a
+/// second, a call and clocks that differ.
 const SETTLE: Duration = Duration::from_millis(2_800);
 /// Time after the return of the store in which counts that were held back arrive there: a
 /// publishing period and a call, for an instance that notices the return half a second later.
@@ -105,11 +106,23 @@
         latest.copied().unwrap_or_default()
     }
 
-    /// Returns the counts of one process.
-    pub fn of(&self, process: &str) -> Self {
-        let own = self.processes.get_key_value(process);
-        let processes = own.map(|(name, windows)| (name.clone(), windows.clone())).into_iter();
-        Self { processes: processes.collect() }
+    /// Returns the counts that are larger than in another copy.
+    fn since(&self, other: &Self) -> Self {
+        let mut more = Self::default();
+        for (process, windows) in &self.processes {
+            for (window, counts) in windows {
+                let told = other.processes.get(process).and_then(|windows| windows.get(window));
+                let is_told = |name: &OrganisationName, count: u64| {
+                    told.and_then(|counts| counts.get(name)).is_some_and(|told| *told >= count)
+                };
+                let larger = counts.iter().filter(|(name, count)| !is_told(name, **count));
+                let larger: Counts = larger.map(|(name, count)| (name.clone(), *count)).collect();
+                if !larger.is_empty() {
+                    more.processes.entry(process.clone()).or_default().insert(*window, larger);
+                }
+            }
+        }
+        more
     }
 
     /// Returns the counts of a window over all processes.
@@ -130,3 +143,25 @@
         self.processes.retain(|_, windows| !windows.is_empty());
     }
 }
+
+/// The counts that this instance has told to another process.
+#[derive(Debug, Default)]
+pub struct Told {
+    process: String,
+    tallies: Tallies,
+}
+
+impl Told {
+    /// Returns what the process lacks of the known counts.
+    pub fn lacking(&self, known: &Tallies) -> Tallies {
+        known.since(&self.tallies)
+    }
+
+    /// Notes that a process heard counts; if it is another one, it lacks all others.
+    pub fn note(&mut self, process: String, heard: &Tallies) {
+        if process != self.process {
+            *self = Self { process, ..Self::default() };
+        }
+        self.tallies.merge(heard);
+    }
+}
--- a/tests/routing/usage.rs
+++ b/tests/routing/usage.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use laburnumvalve::clock::BootTime;
-use laburnumvalve::routing::windows::{Tallies, TrueTime, may_fix};
+use laburnumvalve::routing::windows::{Tallies, Told, TrueTime, may_fix};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
@@ -39,6 +39,73 @@
     }
 }
 
+/// A process on the way from the counting instances to the one that publishes.
+#[derive(Default)]
+struct Rank {
+    name: String,
+    known: Tallies,
+    told: Told,
+}
+
+impl Rank {
+    /// Tells the next rank what it lacks; the answer may be lost.
+    fn tell(&mut self, next: &mut Rank, is_answered: bool) {
+        let lacking = self.told.lacking(&self.known);
+        next.known.merge(&lacking);
+        if is_answered {
+            self.told.note(next.name.clone(), &lacking);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(SEED), ..ProptestConfig::default() })]
+
+    /// Pattern: an instance that passes counts on is killed between hearing and telling them.
+    #[test]
+    fn counts_told_over_ranks_are_exact_though_processes_on_the_way_are_replaced(
+        steps in prop::collection::vec((0..4_usize, 0..5_usize, any::<bool>()), 1..200),
+    ) {
+        let mut ranks: [Rank; 4] = std::array::from_fn(|_| Rank::default());
+        let mut counted = 0;
+        for (number, (rank, what, is_answered)) in steps.into_iter().enumerate() {
+            match what {
+                // The counting instance itself stays, since it would take its counts with it.
+                0 if rank > 0 => ranks[rank] = Rank { name: format!("new-{number}"), ..Rank::default() },
+                1 => {
+                    ranks[0].known.count("process", 7, &"timers".into());
+                    counted += 1;
+                }
+                _ if rank < 3 => {
+                    let (before, after) = ranks.split_at_mut(rank + 1);
+                    before[rank].tell(&mut after[0], is_answered);
+                }
+                _ => {}
+            }
+        }
+        // A process that is replaced hears all in the second round at the latest.
+        for rank in [0, 0, 1, 1, 2, 2] {
+            let (before, after) = ranks.split_at_mut(rank + 1);
+            before[rank].tell(&mut after[0], true);
+        }
+
+        prop_assert_eq!(ranks[3].known.add_up(7).values().sum::<u64>(), counted);
+    }
+}
+
+#[test]
+fn what_was_told_is_not_told_again() {
+    let mut first = Rank::default();
+    let mut next = Rank { name: "next".to_owned(), ..Rank::default() };
+    first.known.count("process", 7, &"timers".into());
+    first.tell(&mut next, true);
+
+    first.known.count("process", 7, &"aligners".into());
+
+    let lacking = first.told.lacking(&first.known);
+    assert_eq!(lacking.add_up(7).into_iter().collect::<Vec<_>>(), [("aligners".into(), 1)]);
+}
+
 #[test]
 fn a_restarted_process_counts_on_beside_its_former_counts() {
     let mut merged = Tallies::default();
