Prove the configuration at once when an instance takes to reading the store

Change: a question is answered when the store begins to fail; a call made while the proof is older than a call takes does not wait. 9 runs of the whole file, three at a time: green.

--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -69,7 +69,7 @@
     pub mirrors: RefCell<HashMap<Collection, Mirror>>,
     /// When another instance asked this one last.
     pub asked_at: Cell<Option<Instant>>,
-    /// Counts changes of the mirrors, and newer proofs.
+    /// Counts changes of what this instance tells others: mirrors, proof, whether the store fails.
     pub changes: watch::Sender<u64>,
     /// Whether this instance reads the platform's store itself.
     pub reads_store: watch::Sender<bool>,
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -15,6 +15,9 @@
 
 /// Longest wait of a watch of the configuration; each answer proves it anew.
 const CONFIG_WAIT: Duration = Duration::from_millis(800);
+/// Age of the proof from which a call for the configuration waits for nothing: older ones than a
+/// call takes come of a source that failed.
+const STALE_PROOF: Duration = Duration::from_millis(1_200);
 /// Longest wait of the watch of backend servers; a connection that went silent is noticed after
 /// it, well within the time in which a leaving one must be.
 const SERVERS_WAIT: Duration = Duration::from_millis(1_200);
@@ -92,7 +95,7 @@
 
     /// Waits for changes; lists everything if the history is gone.
     async fn watch(&self, revision: u64) -> Result<Update, PlatformError> {
-        match self.store.watch(self.of, revision, longest_wait(self.of)).await? {
+        match self.store.watch(self.of, revision, self.wait()).await? {
             Watched::Changes(changes, at) => {
                 let open = |change: Change| item(change.object, change.is_deleted);
                 let items = changes.into_iter().map(open).collect();
@@ -106,6 +109,22 @@
         }
     }
 
+    /// Returns how long the next watch may wait for a change.
+    fn wait(&self) -> Duration {
+        match self.of {
+            Collection::Configs if self.is_proof_stale() => Duration::ZERO,
+            Collection::Configs => CONFIG_WAIT,
+            Collection::Servers => SERVERS_WAIT,
+            Collection::DataCentresOut => DATA_CENTRES_OUT_WAIT,
+            _ => INSTANCES_WAIT,
+        }
+    }
+
+    fn is_proof_stale(&self) -> bool {
+        let age = self.cx.proof.borrow().age(BootTime::now());
+        age.is_none_or(|age| age > STALE_PROOF)
+    }
+
     fn pause(&self) -> Duration {
         let doubled = RETRY_PAUSE.saturating_mul(1 << self.failures.saturating_sub(1).min(8));
         doubled.min(MAX_RETRY_PAUSE).mul_f64(rand::rng().random_range(0.5..1.0))
@@ -128,6 +147,10 @@
         self.failures = if error.is_some() { self.failures + 1 } else { 0 };
         if self.of == Collection::Configs {
             let before = self.cx.store_failures.send_replace(self.failures);
+            if before == 0 && error.is_some() {
+                // Those who ask this instance must look for another one.
+                self.cx.changes.send_modify(|count| *count += 1);
+            }
             if is_away(before) && error.is_none() {
                 self.cx.store_returned_at.set(Some(BootTime::now()));
             }
@@ -138,15 +161,6 @@
     }
 }
 
-fn longest_wait(of: Collection) -> Duration {
-    match of {
-        Collection::Configs => CONFIG_WAIT,
-        Collection::Servers => SERVERS_WAIT,
-        Collection::DataCentresOut => DATA_CENTRES_OUT_WAIT,
-        _ => INSTANCES_WAIT,
-    }
-}
-
 fn item(object: Stored, is_deleted: bool) -> Item {
     let value = (!is_deleted).then_some(object.value);
     Item { name: object.name, revision: object.revision, value }
