--- a/tests/gateway/soak/world.rs
+++ b/tests/gateway/soak/world.rs
@@ -27,7 +27,6 @@
 /// Key that is never withdrawn.
 pub const LASTING_KEY: &str = "lasting";
 
-const INSTANCES: usize = 4;
 const SERVERS: usize = 6;
 
 /// A usage report that was accepted.
@@ -88,7 +87,7 @@
 
 impl World {
     /// Starts everything and waits until the instances are ready.
-    pub async fn start(seed: u64) -> Arc<Self> {
+    pub async fn start(seed: u64, instances: usize) -> Arc<Self> {
         let logs = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}"));
         // The logs of an earlier run would mislead; there may be none.
         let _ = std::fs::remove_dir_all(&logs);
@@ -116,7 +115,7 @@
             world.store.put("servers", &server.runner.name(), server.entry(Duration::ZERO));
             world.servers.push(server);
         }
-        for number in 0..INSTANCES {
+        for number in 0..instances {
             let way = Relay::start(world.store.fragile).await.expect("a relay starts");
             let cfg = InstanceSettings {
                 name: format!("instance-{number}"),
