--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,8 +1,8 @@
 //! Passes the platform's state on between instances.
 //!
 //! An instance asks its source with what it knows; the source answers at once if it knows more or
-//! the store turns it away, or when it has a newer proof, or else after a while. Counts of requests travel the other way,
-//! those of instances that ask the asker included.
+//! the store turns it away, or when it has a newer proof, or else after a while. Counts of requests
+//! travel the other way, those of instances that ask the asker included.
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
