Keep a removed server out though its entry is heard of only afterwards

A removal of an unknown server was not remembered, so the older entry, taken next, put it into use. Change: removals are remembered for unknown servers as well.

--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -131,16 +131,20 @@
     /// While the registry fails, and shortly after, entries also lapse without cause; these stay
     /// in use until [`Fleet::sweep`] drops them.
     pub fn remove(&mut self, now: Instant, revision: u64, name: &BackendServerName) {
-        if !self.lapses_without_cause(now) {
-            let known = self.servers.remove(name);
-            if let Some(known) = &known {
-                self.release_address(known);
-            }
-            let since = known.map(|known| known.draining_since.unwrap_or(now));
-            self.gone.extend(since.map(|since| (name.clone(), Gone { since, revision })));
-        } else if let Some(server) = self.servers.get_mut(name) {
+        if self.lapses_without_cause(now)
+            && let Some(server) = self.servers.get_mut(name)
+        {
             server.missing.get_or_insert(Gone { since: now, revision });
+            return;
+        }
+        let known = self.servers.remove(name);
+        if let Some(known) = &known {
+            self.release_address(known);
         }
+        let since = known.and_then(|known| known.draining_since).unwrap_or(now);
+        // Kept for an unknown one as well: news from before its removal may still come.
+        let gone = self.gone.entry(name.clone()).or_insert(Gone { since, revision });
+        gone.revision = gone.revision.max(revision);
     }
 
     /// Takes note of whether calls to the registry succeed.
--- a/tests/routing/fleet.rs
+++ b/tests/routing/fleet.rs
@@ -171,3 +171,20 @@
 
     assert!(!fleet.get(&"a-0".into()).expect("it is listed").is_cold(at(now, 3_100)));
 }
+
+/// Pattern: a server that comes and goes between two calls; its removal is taken first.
+#[rstest]
+#[case::registry_answers(true)]
+#[case::registry_fails(false)]
+fn a_removed_server_stays_out_though_its_entry_is_heard_of_only_afterwards(#[case] answers: bool) {
+    let now = Instant::now();
+    let mut fleet = fleet(now, &["kolkata-a"], 2);
+    fleet.note_registry(now, answers);
+
+    fleet.remove(now, 72, &"brief".into());
+    fleet.put(now, 69, entry("brief", "kolkata-a"));
+
+    assert!(!fleet.is_usable(&"brief".into()));
+    fleet.put(now, 80, entry("brief", "kolkata-a"));
+    assert!(fleet.is_usable(&"brief".into()), "it has come back");
+}
