Do not shorten a server's cold time when its data centre returns

The server's entry said that it was cold for 4.5 s while its data centre was out; the return of the data centre half a second later set the time of a cold start, 2 s, in its place. Change: the later of the two times holds. Test: the_return_of_a_data_centre_shortens_no_cold_time, red before, green after.

--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -175,7 +175,8 @@
         for server in self.servers.values_mut() {
             let data_centre = &server.entry.data_centre;
             if self.out.contains(data_centre) && !out.contains(data_centre) {
-                server.cold_until = Some(now + cold_start(&server.entry.service));
+                let cold_start = cold_start(&server.entry.service);
+                server.cold_until = server.cold_until.max(Some(now + cold_start));
             }
         }
         self.out = out;
--- a/tests/routing/fleet.rs
+++ b/tests/routing/fleet.rs
@@ -172,6 +172,23 @@
     assert!(!fleet.get(&"a-0".into()).expect("it is listed").is_cold(at(now, 3_100)));
 }
 
+/// Found by the soak (seed 524): the server became cold for longer while its data centre was out.
+#[test]
+fn the_return_of_a_data_centre_shortens_no_cold_time() {
+    let now = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.set_out(now, HashSet::from(["a".into()]), |_| Duration::ZERO);
+    fleet.put(now, 1, Registration { cold_for: Duration::from_secs(5), ..entry("long", "a") });
+    fleet.put(now, 1, entry("warm", "a"));
+
+    fleet.set_out(now, HashSet::new(), |_| Duration::from_secs(2));
+
+    let is_cold =
+        |name: &str, ms| fleet.get(&name.into()).expect("it is known").is_cold(at(now, ms));
+    assert_eq!((is_cold("long", 4_900), is_cold("long", 5_100)), (true, false));
+    assert_eq!((is_cold("warm", 1_900), is_cold("warm", 2_100)), (true, false));
+}
+
 /// Pattern: a server that comes and goes between two calls; its removal is taken first.
 #[rstest]
 #[case::registry_answers(true)]
