Share what stood twice: accepting, cold times, fading memories

Behaviour is the same, but that the log line of a failed accept names callers as the other interfaces.

--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -15,24 +15,18 @@
 
 use super::body::ReplyBody;
 use super::handle::handle;
-use super::listen::ACCEPT_PAUSE;
+use super::listen;
 use super::shared::Shared;
 
 /// Time after the signal to stop in which callers may still open connections: the balancer needs
 /// two failed checks, one a second, to notice.
 pub const LAST_CONNECTIONS: Duration = Duration::from_millis(2_600);
+
 /// Accepts connections until the process ends.
 pub async fn accept(cx: Rc<Shared>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                tokio::task::spawn_local(serve(cx.clone(), socket));
-            }
-            Err(error) => {
-                tracing::warn!(%error, "connection of a caller can't be accepted");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let socket = listen::accept(&listener, "callers").await;
+        tokio::task::spawn_local(serve(cx.clone(), socket));
     }
 }
 
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -9,12 +9,25 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 use super::body::ReplyBody;
 
 /// Pause after a failed accept, such as when descriptors run out.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts the next connection; `of` names the interface in log lines.
+pub async fn accept(listener: &TcpListener, of: &'static str) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => return socket,
+            Err(error) => {
+                tracing::warn!(of, %error, "connection can't be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
 
 /// Answers requests on a socket until the process ends; `of` names the interface in log lines.
 pub async fn serve<F, R>(listener: TcpListener, of: &'static str, answer: F)
@@ -23,14 +36,7 @@
     R: Future<Output = Response<ReplyBody>> + 'static,
 {
     loop {
-        let socket = match listener.accept().await {
-            Ok((socket, _)) => socket,
-            Err(error) => {
-                tracing::warn!(of, %error, "connection can't be accepted");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let socket = accept(&listener, of).await;
         let answer = answer.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|req| {
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -59,6 +59,11 @@
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| now < until)
     }
+
+    /// Counts it as cold until a time, or longer if it is cold for longer.
+    fn keep_cold(&mut self, until: Instant) {
+        self.cold_until = self.cold_until.max(Some(until));
+    }
 }
 
 /// A removed entry.
@@ -175,8 +180,7 @@
         for server in self.servers.values_mut() {
             let data_centre = &server.entry.data_centre;
             if self.out.contains(data_centre) && !out.contains(data_centre) {
-                let cold_start = cold_start(&server.entry.service);
-                server.cold_until = server.cold_until.max(Some(now + cold_start));
+                server.keep_cold(now + cold_start(&server.entry.service));
             }
         }
         self.out = out;
@@ -185,7 +189,7 @@
     /// Marks a backend server as cold for a time, such as after it came back from a failure.
     pub fn mark_cold(&mut self, now: Instant, name: &BackendServerName, time: Duration) {
         if let Some(server) = self.servers.get_mut(name) {
-            server.cold_until = server.cold_until.max(Some(now + time));
+            server.keep_cold(now + time);
         }
     }
 
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -176,10 +176,15 @@
 
     fn keep(&self, now: Instant) -> f64 {
         let age = self.faded_at.map_or(Duration::ZERO, |at| now.duration_since(at));
-        0.5_f64.powf(age.as_secs_f64() / FAILURE_HALF_LIFE.as_secs_f64())
+        kept_part(age, FAILURE_HALF_LIFE)
     }
 }
 
+/// Returns the part of a memory that is left after a time in which half of it fades each half-life.
+pub fn kept_part(age: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
+
 /// Loads of all backend servers.
 #[derive(Debug, Default)]
 pub struct Loads {
--- a/src/routing/mix.rs
+++ b/src/routing/mix.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use crate::routing::choose::{ChoiceSettings, Demand};
+use crate::routing::load::kept_part;
 
 /// Time in which half of the memory of past requests fades.
 const HALF_LIFE: Duration = Duration::from_secs(4);
@@ -28,9 +29,7 @@
 impl WorkMix {
     /// Notes a request; `slots` are those of an engine.
     pub fn note(&mut self, now: Instant, cfg: &ChoiceSettings, demand: &Demand, slots: u32) {
-        let keep = self.at.map_or(1.0, |at| {
-            0.5_f64.powf(now.duration_since(at).as_secs_f64() / HALF_LIFE.as_secs_f64())
-        });
+        let keep = self.at.map_or(1.0, |at| kept_part(now.duration_since(at), HALF_LIFE));
         self.at = Some(now);
         self.long *= keep;
         self.short *= keep;
