End responses and streams of backend servers that send bytes without end

Cause: informational responses without end occupied a request until its deadline; a stream whose events never stop, or consist of comments, was read on past the deadline for as long as the server sent, because a read that always has bytes never meets its time limit; an event without end was passed on in parts; the time limit of a silent stream shrank while it was measured, so that a sound stream that can't be resumed was cut after half of the time left.

Ruled out: header fields, one header value, bytes that are no HTTP, bodies and trailers without end were already bounded; a late second copy of a response already failed by its attempt ID.

Change: at most 16 informational responses and heads of 64 KiB; an event of over 256 KiB fails its run; a stream ends 150 ms after its deadline at the latest; the time of a stall is an instant instead of a sum of waits; the response to a KV cache copy is bounded.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -2,9 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of an event that is buffered until it is complete; longer ones are forwarded in
-/// parts.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+/// Maximum size of an event, which is buffered until it is complete.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// Complete events and the ID of the last one.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,16 +35,18 @@
 
     /// Takes all complete events from the buffer.
     pub fn take_complete(&mut self) -> Option<EventBatch> {
-        let end = match end_of_last_event(&self.buf) {
-            Some(end) => end,
-            None if self.buf.len() > MAX_EVENT_BYTES => self.buf.len(),
-            None => return None,
-        };
+        let end = end_of_last_event(&self.buf)?;
         let bytes = self.buf.split_to(end).freeze();
         let events = self.drop_delivered(bytes);
         (!events.bytes.is_empty()).then_some(events)
     }
 
+    /// Returns whether the buffer holds an incomplete event of more than [`MAX_EVENT_BYTES`], which
+    /// a backend server in trouble may send without end.
+    pub fn is_event_too_long(&self) -> bool {
+        self.buf.len() > MAX_EVENT_BYTES && end_of_last_event(&self.buf).is_none()
+    }
+
     /// Takes the remaining bytes at the end of a stream.
     pub fn take_remainder(&mut self) -> Option<Bytes> {
         (!self.buf.is_empty()).then(|| self.buf.split().freeze())
--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -3,6 +3,8 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,6 +15,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 use crate::names::BackendServerName;
@@ -28,6 +31,10 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Safety margin before the idle timeout of the backend server, at which a connection is closed.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+/// Maximum size of a response head; also the size of the read buffer of a connection.
+const MAX_RESPONSE_HEAD_BYTES: usize = 64 << 10;
+/// Maximum number of informational responses (1xx) before a response.
+const MAX_INFORMATIONAL_RESPONSES: u32 = 16;
 /// Maximum number of idle connections to a backend server.
 const MAX_IDLE_PER_SERVER: usize = 16;
 /// Fraction of a backend server's connection limit that idle connections of all instances may use;
@@ -69,9 +76,17 @@
     /// If no response was received; the variant states whether the request was sent.
     pub async fn send(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, ConnectionError> {
-        let rsp = self.tx.try_send_request(req).await.map_err(|mut failed| {
+        let flooded = notify_after_informational_responses(&mut req);
+        let sent = tokio::select! {
+            sent = self.tx.try_send_request(req) => sent,
+            () = flooded.notified() => {
+                let why = format!("more than {MAX_INFORMATIONAL_RESPONSES} informational responses");
+                return Err(ConnectionError::NoResponse(why));
+            }
+        };
+        let rsp = sent.map_err(|mut failed| {
             let why = failed.error().to_string();
             match failed.take_message() {
                 Some(_) => ConnectionError::NotSent(why),
@@ -85,6 +100,18 @@
     }
 }
 
+/// Returns a notification that comes when a request received too many informational responses.
+fn notify_after_informational_responses(req: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let flooded = Arc::new(Notify::new());
+    let (notify, count) = (flooded.clone(), AtomicU32::new(0));
+    hyper::ext::on_informational(req, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL_RESPONSES {
+            notify.notify_one();
+        }
+    });
+    flooded
+}
+
 /// Returns the idle timeout stated in a header such as `Keep-Alive: timeout=5`.
 fn keep_alive_timeout(rsp: &Response<Incoming>) -> Option<Duration> {
     let text = rsp.headers().get("keep-alive")?.to_str().ok()?;
@@ -178,7 +205,9 @@
         .map_err(|_| not_sent(format!("timed out after {} ms", CONNECT_TIMEOUT.as_millis())))?
         .map_err(|error| not_sent(error.to_string()))?;
     set_socket_options(&socket).map_err(|error| not_sent(error.to_string()))?;
-    let (tx, connection) = http1::handshake(TokioIo::new(socket))
+    let (tx, connection) = http1::Builder::new()
+        .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+        .handshake(TokioIo::new(socket))
         .await
         .map_err(|error| not_sent(error.to_string()))?;
     let task = tokio::task::spawn_local(async move {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures::stream::{self, StreamExt};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, Limited, StreamBody};
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
@@ -15,7 +15,7 @@
 
 use super::attempt::{AdmittedRequest, BackendResponse, ResumePoint, Run, SendOutcome, send};
 use super::body::{ResponseBody, TruncatedBody};
-use super::events::EventSplitter;
+use super::events::{EventSplitter, MAX_EVENT_BYTES};
 use super::handle::recheck_key;
 use super::links::ConnectionError;
 use super::record::RequestRecord;
@@ -41,6 +41,11 @@
 const MIGRATION_DELAY: [Duration; 2] = [Duration::from_millis(300), Duration::from_millis(700)];
 /// Period at which a stream without events checks whether its backend server shuts down.
 const DRAIN_CHECK_PERIOD: Duration = Duration::from_millis(200);
+/// Time after the deadline for which events that arrive are still forwarded, as the engine ends the
+/// stream at the deadline by its own clock.
+const DEADLINE_OVERRUN: Duration = Duration::from_millis(150);
+/// Maximum size of the response to a KV cache copy.
+const MAX_MIGRATION_RESPONSE_BYTES: usize = 64 << 10;
 /// Timeout of each step of a migration: a KV cache copy, or reading the rest of the old stream.
 const MIGRATION_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -165,7 +170,7 @@
 
     /// Returns the next events, or `None` after a regular end.
     async fn next_events(&mut self) -> Option<Result<Bytes, TruncatedBody>> {
-        let mut waited = Duration::ZERO;
+        let mut waiting_since = Instant::now();
         loop {
             if self.is_finished {
                 return None;
@@ -185,29 +190,36 @@
             {
                 return Some(Err(why));
             }
-            let wait = self.stall_timeout().saturating_sub(waited).min(DRAIN_CHECK_PERIOD);
-            let read = tokio::time::timeout(wait, self.read()).await;
-            let why = match read {
-                Ok(Ok(bytes)) => return Some(Ok(bytes)),
-                Ok(Err(ReadEnd::Complete)) => {
+            let why = match self.read_until(self.stalled_at(waiting_since)).await {
+                Some(Ok(bytes)) => return Some(Ok(bytes)),
+                Some(Err(ReadEnd::Complete)) => {
                     self.finish();
                     return self.splitter.take_remainder().map(Ok);
                 }
-                Ok(Err(ReadEnd::Failed(why))) => why,
-                Err(_) if waited + wait < self.stall_timeout() => {
-                    waited += wait;
-                    continue;
-                }
-                Err(_) => {
-                    format!("the stream stalled: no event for {} ms", (waited + wait).as_millis())
+                Some(Err(ReadEnd::Failed(why))) => why,
+                None if Instant::now() < self.stalled_at(waiting_since) => continue,
+                None => {
+                    let waited_ms = waiting_since.elapsed().as_millis();
+                    format!("the stream stalled: no event for {waited_ms} ms")
                 }
             };
-            waited = Duration::ZERO;
             self.fail();
             if let Err(why) = self.resume_or_fail(&why).await {
                 return Some(Err(why));
             }
+            waiting_since = Instant::now();
+        }
+    }
+
+    /// Reads events until the stream counts as stalled, at most for [`DRAIN_CHECK_PERIOD`]; `None`
+    /// if there were none.
+    async fn read_until(&mut self, stalled_at: Instant) -> Option<Result<Bytes, ReadEnd>> {
+        let wait = stalled_at.saturating_duration_since(Instant::now());
+        if wait.is_zero() {
+            // A run that sends without end always has something to read.
+            return None;
         }
+        tokio::time::timeout(wait.min(DRAIN_CHECK_PERIOD), self.read()).await.ok()
     }
 
     /// Resumes the stream after its run failed, or ends it with an error.
@@ -301,7 +313,7 @@
             let mut connection =
                 self.cx.pool.acquire(source, source_address, MIGRATION_CALL_TIMEOUT).await?;
             let (parts, body) = connection.send(req).await?.into_parts();
-            let body = body
+            let body = Limited::new(body, MAX_MIGRATION_RESPONSE_BYTES)
                 .collect()
                 .await
                 .map_err(|error| ConnectionError::NoResponse(error.to_string()))?;
@@ -321,7 +333,9 @@
 
     /// Reads the rest of a stopped run's stream into the splitter.
     async fn drain_current_run(&mut self) {
-        while let Some((body, _)) = &mut self.current_run {
+        while let Some((body, _)) = &mut self.current_run
+            && !self.splitter.is_event_too_long()
+        {
             match body.frame().await {
                 Some(Ok(frame)) => {
                     if let Some(bytes) = frame.data_ref() {
@@ -334,13 +348,13 @@
         }
     }
 
-    /// Returns the time without events after which the stream counts as stalled.
-    fn stall_timeout(&self) -> Duration {
-        let left = self.request.time_left();
+    /// Returns when the stream counts as stalled if there are no events from `waiting_since` on.
+    fn stalled_at(&self, waiting_since: Instant) -> Instant {
+        let last = self.request.deadline + DEADLINE_OVERRUN;
         if self.may_resume() {
-            left.min(self.request.route.gap_target * STALL_GAP_TARGETS)
+            last.min(waiting_since + self.request.route.gap_target * STALL_GAP_TARGETS)
         } else {
-            left
+            last
         }
     }
 
@@ -352,6 +366,10 @@
                 self.last_event = events.last_id.or(self.last_event);
                 return Ok(events.bytes);
             }
+            if self.splitter.is_event_too_long() {
+                let why = format!("an event is longer than {MAX_EVENT_BYTES} bytes");
+                return Err(ReadEnd::Failed(why));
+            }
             match body.frame().await {
                 Some(Ok(frame)) => {
                     if let Some(bytes) = frame.data_ref() {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,3 +6,4 @@
 mod serve;
 mod soak;
 mod support;
+mod trouble;
--- a/tests/gateway/support/instance.rs
+++ b/tests/gateway/support/instance.rs
@@ -152,6 +152,15 @@
         rsp.expect("metrics are served").text().await.expect("metrics are text")
     }
 
+    /// Returns the peak of the memory that the process had resident, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).expect("the process runs");
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = line.and_then(|line| line.trim().strip_suffix("kB")?.trim().parse::<u64>().ok());
+        kib.expect("the peak is stated in kB") * 1_024
+    }
+
     /// Returns whether the readiness check succeeds.
     pub async fn is_ready(&self) -> bool {
         let url = format!("http://{}/laburnumvalve/ready", self.ready_address);
@@ -168,6 +177,11 @@
             .body("body")
     }
 
+    /// Sends a request of a caller.
+    pub async fn execute(&self, req: reqwest::Request) -> reqwest::Result<reqwest::Response> {
+        self.client.execute(req).await
+    }
+
     /// Sends SIGTERM to the process.
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and fixtures for the gateway tests.
 
 pub mod instance;
+pub mod raw;
 pub mod runner;
 pub mod store;
 
@@ -22,6 +23,7 @@
 use tokio::net::TcpListener;
 
 pub use instance::Instance;
+pub use raw::{RawConnection, RawServer};
 pub use runner::{Fault, StandInBackend};
 pub use store::StandInStore;
 
@@ -68,6 +70,14 @@
     address
 }
 
+/// Returns the entry of a backend server in the store.
+pub fn server_entry(address: SocketAddr) -> Value {
+    json!({
+        "service": "engines", "address": address.to_string(), "zone": "kolkata-a",
+        "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0, "sequence": 1,
+    })
+}
+
 /// Starts a store with a configuration and one registered backend server.
 pub async fn stand_ins(keys: &[&str]) -> (StandInStore, StandInBackend) {
     let store = StandInStore::start().await;
--- a/tests/gateway/support/runner.rs
+++ b/tests/gateway/support/runner.rs
@@ -10,9 +10,9 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use serde_json::{Value, json};
+use serde_json::Value;
 
-use super::{Body, dropped_response, full, serve};
+use super::{Body, dropped_response, full, serve, server_entry};
 
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 8;
@@ -86,10 +86,7 @@
 
     /// Returns the server's entry in the store.
     pub fn entry(&self) -> Value {
-        json!({
-            "service": "engines", "address": self.address.to_string(), "zone": "kolkata-a",
-            "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0, "sequence": 1,
-        })
+        server_entry(self.address)
     }
 
     /// Returns the server's name.
