Try the remaining servers when home instances refuse the first two

Cause, from reading: an entry instance that learns of an evacuation after the homes takes two servers of the evacuated data centre as candidates; both homes refuse, and the caller gets no_backend_server although another data centre is in service.

Not shown: the new test, an entry that gets no pushes of the change, passes without the change as well, in three forms. It stays as a check of that case.

Change: a server that takes no work according to its home is left out, and the remaining ones are tried, at most eight further.

--- a/src/entry/admit.rs
+++ b/src/entry/admit.rs
@@ -20,6 +20,8 @@
 
 /// Maximum rounds over the candidates while home instances are moving or unreachable.
 const MAX_ADMISSION_ROUNDS: u32 = 5;
+/// Maximum number of servers left out because their home instances do not let them take work.
+const MAX_UNAVAILABLE_SERVERS: usize = 8;
 /// Time to wait for a server that can resume an interrupted response.
 ///
 /// Covers the delay until such a server is known: home instances poll the engines every 500 ms and
@@ -42,6 +44,9 @@
     pub estimated_tokens: u64,
     /// Backend servers to avoid, such as those that failed this request.
     pub excluded: BTreeSet<BackendServerName>,
+    /// Backend servers that take no work according to their home instances, whose configuration may
+    /// be newer than that of this instance.
+    pub unavailable: BTreeSet<BackendServerName>,
     /// Hash of the start of the prompt; requests that share a prefix have equal hashes.
     pub prefix_hash: u64,
     /// Whether the backend server must be able to resume a partial response.
@@ -67,9 +72,10 @@
     criteria: &AdmissionCriteria,
 ) -> Result<(Permit, BackendServer), SlotDenied> {
     let started = Instant::now();
+    let mut criteria = criteria.clone();
     let mut round = 0;
     loop {
-        match try_candidates(entry, info, criteria).await {
+        match try_candidates(entry, info, &mut criteria).await {
             Ok((permit, server)) => {
                 let class = info.class.name.as_str();
                 entry.cx.metrics.record_duration(
@@ -82,12 +88,14 @@
                 entry.cx.recorder.record_for(EventKind::Admit, about, detail);
                 return Ok((permit, server));
             }
+            Err(AdmitError::Out | AdmitError::Ejected)
+                if has_untried_server(&entry.cx, info, &criteria) => {}
             Err(error) if is_transient(&error) && round + 1 < MAX_ADMISSION_ROUNDS => {
                 sleep(backoff(round)).await;
                 round += 1;
             }
             Err(error)
-                if awaits_resume_server(criteria, &error)
+                if awaits_resume_server(&criteria, &error)
                     && started.elapsed() < RESUME_SERVER_TIMEOUT =>
             {
                 wait_for_load_update(
@@ -101,6 +109,12 @@
     }
 }
 
+/// Returns whether a server is left whose home instance has not denied this request.
+fn has_untried_server(cx: &Context, info: &RequestInfo, criteria: &AdmissionCriteria) -> bool {
+    (1..=MAX_UNAVAILABLE_SERVERS).contains(&criteria.unavailable.len())
+        && !pick::candidates(cx, info, criteria).is_empty()
+}
+
 /// Returns whether a server that can resume the partial response may become known soon.
 fn awaits_resume_server(criteria: &AdmissionCriteria, error: &AdmitError) -> bool {
     criteria.needs_resume && matches!(error, AdmitError::Out | AdmitError::Ejected)
@@ -121,14 +135,13 @@
 async fn try_candidates(
     entry: &Entry,
     info: &RequestInfo,
-    criteria: &AdmissionCriteria,
+    criteria: &mut AdmissionCriteria,
 ) -> Result<(Permit, BackendServer), AdmitError> {
     let candidates = pick::candidates(&entry.cx, info, criteria);
     let mut over_wait_bound = None;
     let mut last = AdmitError::Out;
     for (server, wait_bound) in &candidates {
-        match entry.admission_client.admit(slot_request(info, criteria, server, *wait_bound)).await
-        {
+        match try_server(entry, info, criteria, server, *wait_bound).await {
             Ok(permit) => return Ok((permit, server.clone())),
             Err(AdmitError::WaitAboveBound(_)) => over_wait_bound = Some(server),
             Err(error) => last = more_specific(last, error),
@@ -136,14 +149,29 @@
     }
     match over_wait_bound {
         Some(server) => {
-            let permit =
-                entry.admission_client.admit(slot_request(info, criteria, server, None)).await?;
+            let permit = try_server(entry, info, criteria, server, None).await?;
             Ok((permit, server.clone()))
         }
         None => Err(last),
     }
 }
 
+/// Requests a slot on one server; adds it to the unavailable ones if it takes no work.
+async fn try_server(
+    entry: &Entry,
+    info: &RequestInfo,
+    criteria: &mut AdmissionCriteria,
+    server: &BackendServer,
+    wait_bound: Option<Duration>,
+) -> Result<Permit, AdmitError> {
+    let admitted =
+        entry.admission_client.admit(slot_request(info, criteria, server, wait_bound)).await;
+    if matches!(admitted, Err(AdmitError::Out | AdmitError::Ejected)) {
+        criteria.unavailable.insert(server.name.clone());
+    }
+    admitted
+}
+
 fn slot_request(
     info: &RequestInfo,
     criteria: &AdmissionCriteria,
--- a/src/entry/pick.rs
+++ b/src/entry/pick.rs
@@ -15,7 +15,8 @@
 
 /// Returns at most two backend servers that accept requests, in order of preference.
 ///
-/// Servers that failed this request are returned only if there is no other.
+/// Servers that failed this request are returned only if there is no other; unavailable ones are
+/// not returned.
 pub fn candidates(
     cx: &Context,
     info: &RequestInfo,
@@ -24,18 +25,12 @@
     let in_force = cx.in_force.borrow().clone();
     let loads = cx.loads.borrow().clone();
     let failed: Vec<BackendServerName> = criteria.excluded.iter().cloned().collect();
-    let without_resume = if criteria.needs_resume {
-        servers_without_resume(&in_force, &loads, info)
-    } else {
-        Vec::new()
-    };
-    let found =
-        pick(cx, &in_force, &loads, info, criteria, &[failed, without_resume.clone()].concat());
-    if found.is_empty() {
-        pick(cx, &in_force, &loads, info, criteria, &without_resume)
-    } else {
-        found
+    let mut unsuitable: Vec<BackendServerName> = criteria.unavailable.iter().cloned().collect();
+    if criteria.needs_resume {
+        unsuitable.extend(servers_without_resume(&in_force, &loads, info));
     }
+    let found = pick(cx, &in_force, &loads, info, criteria, &[failed, unsuitable.clone()].concat());
+    if found.is_empty() { pick(cx, &in_force, &loads, info, criteria, &unsuitable) } else { found }
 }
 
 fn pick(
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -186,6 +186,13 @@
         self.views[instance].relay().thaw(Direction::Both);
     }
 
+    /// Stops passing what the other instances send on their own connections to an instance.
+    pub fn cut_pushes_to(&self, instance: &str) {
+        for (_, way) in self.ways.iter().filter(|((_, to), _)| to == instance) {
+            way.freeze(Direction::Both);
+        }
+    }
+
     /// Stops passing bytes between an instance and all others.
     pub fn cut_from_peers(&self, instance: &str) {
         for way in self.ways_of(instance) {
--- a/tests/failures_service.rs
+++ b/tests/failures_service.rs
@@ -17,6 +17,8 @@
 const PROPAGATION_TIMEOUT_AFTER_KILL: Duration = Duration::from_secs(6);
 /// Duration of the observed traffic after a change must be in force.
 const OBSERVATION_PERIOD: Duration = Duration::from_secs(1);
+/// Callers of an instance that does not know the newest configuration.
+const OUTDATED_CALLERS: usize = 6;
 /// Tokens of a response that takes about 2 s.
 const LONG_RESPONSE_TOKENS: u64 = 400;
 
@@ -107,6 +109,28 @@
     assert!(received["e3"] > 0);
 }
 
+/// An entry instance may learn of an evacuation after the home instances. Both of its candidates are
+/// then refused, although a server of another data centre is in service.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_with_an_outdated_configuration_uses_a_server_that_is_in_service() {
+    let mut settings = FleetSettings::default();
+    // All servers are equally far from an instance in a data centre of its own.
+    settings.sheet = settings.sheet.data_centre("kolkata-c", "bengal-east");
+    settings.instances.push(("i4".into(), "kolkata-c".into()));
+    let fleet = Fleet::start(settings).await;
+    let key = fleet.issue("i1", "shobdo").await;
+    fleet.cut_from_platform("i4");
+    fleet.cut_pushes_to("i4");
+    let (stop, traffic) = send_continuously(vec![fleet.caller("i4", &key); OUTDATED_CALLERS]);
+
+    fleet.instances["i2"].set_data_centre("kolkata-a", false).await;
+    tokio::time::sleep(OBSERVATION_PERIOD).await;
+
+    stop.send_replace(true);
+    let answers = traffic.await.expect("the traffic task panicked");
+    answers.iter().for_each(|(messages, answer)| answer.assert_whole(messages, 4));
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn backend_server_marked_out_receives_no_new_requests() {
     let fleet = Fleet::start(FleetSettings::default()).await;
