--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -66,7 +66,8 @@
     let this_holder = Holder { instance: cfg.instance.clone(), incarnation: rand::random() };
     *duty_lease.instance.borrow_mut() = Some(cfg.instance.clone());
     let mut machine = LeaseStateMachine::new(this_holder, settings);
-    let mut polls_to_skip = 0;
+    // The other instances are known only some time after the start.
+    let mut polls_to_skip = MIN_SKIPPED_POLLS;
     let mut draining = cx.draining.subscribe();
     while !cx.is_draining() {
         let is_held = machine.held(BootTime::now()).is_some();
@@ -90,8 +91,12 @@
 }
 
 /// Returns whether this instance is among the candidates for the lease.
+///
+/// An instance that is not in its own list is none, as its view of the others may be incomplete.
 fn is_candidate(cx: &InstanceState, this_instance: &InstanceName) -> bool {
-    rank(this_instance, cx.members.borrow().names(), 0) < MAX_CANDIDATES
+    let members = cx.members.borrow();
+    let is_listed = members.names().any(|name| name == this_instance);
+    is_listed && rank(this_instance, members.names(), 0) < MAX_CANDIDATES
 }
 
 async fn run_poll_round(
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -21,6 +21,12 @@
 
 /// Timeout of a request that states no deadline.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Maximum time that a request waits for the first configuration; an instance that starts beside
+/// others has it earlier.
+const MAX_START_WAIT: Duration = Duration::from_millis(500);
+/// Fraction of the caller's timeout that a request waits for the first configuration at most; the
+/// rest is left for the request or another attempt of the caller.
+const START_WAIT_FRACTION: f64 = 0.4;
 /// Maximum size of a non-streaming response, which is buffered before it is forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
 /// Minimum timeout of an attempt that can be retried, as a multiple of the route's latency target.
@@ -67,6 +73,7 @@
     received_at: Instant,
     record: &RequestRecord,
 ) -> Result<AdmittedRequest, Refusal> {
+    wait_until_routable(cx, head.timeout.unwrap_or(DEFAULT_TIMEOUT)).await;
     let catalog = cx.catalog();
     if catalog.version == 0 {
         record.set_reason("no configuration was received yet");
@@ -108,6 +115,18 @@
     })
 }
 
+/// Waits for the state that routing needs after the start of the process, so that a request which
+/// arrives a moment earlier is not refused.
+async fn wait_until_routable(cx: &InstanceState, timeout: Duration) {
+    if cx.can_route() {
+        return;
+    }
+    let mut changes = cx.changes.subscribe();
+    let received = async { while !cx.can_route() && changes.changed().await.is_ok() {} };
+    let wait = MAX_START_WAIT.min(timeout.mul_f64(START_WAIT_FRACTION));
+    let _ = tokio::time::timeout(wait, received).await;
+}
+
 fn find_route(catalog: &Catalog, req: &Request<Incoming>) -> Option<std::sync::Arc<Route>> {
     let host = req.headers().get("host").and_then(|host| host.to_str().ok());
     let host = host.or_else(|| req.uri().host()).unwrap_or_default();
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -9,7 +9,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::body::ResponseBody;
@@ -17,6 +17,11 @@
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Time without a request after which a connection is closed; clients close theirs earlier.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Maximum size of a connection's read buffer, and thereby of a request head.
+const READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// Accepts the next connection; `interface` is shown in log lines.
 pub async fn accept(listener: &TcpListener, interface: &'static str) -> TcpStream {
     loop {
@@ -44,7 +49,11 @@
                 let rsp = handler(req);
                 async move { Ok::<_, Infallible>(rsp.await) }
             });
-            let served = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .max_buf_size(READ_BUFFER_BYTES)
+                .serve_connection(TokioIo::new(socket), service);
             if let Err(error) = served.await {
                 tracing::debug!(of = interface, %error, "connection ended with an error");
             }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod links;
 pub mod listen;
 pub mod peers;
+pub mod pulls;
 pub mod record;
 pub mod relay;
 pub mod roster;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,47 +6,39 @@
 //! those received from downstream peers.
 
 use std::collections::BTreeMap;
+use std::io::Read as _;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
-use hyper::{Request, Response, StatusCode};
-use tokio::net::TcpListener;
+use flate2::read::GzDecoder;
 
-use super::body::{ResponseBody, full_body};
-use super::listen;
+use super::pulls::MAX_HOLD;
 use super::shared::InstanceState;
-use super::state::{SYNCED_COLLECTIONS, apply_update};
+use super::state::apply_update;
 use crate::clock::BootTime;
 use crate::metrics::Counter;
 use crate::names::{DataCentreName, InstanceName};
 use crate::platform::{Collection, http};
+use crate::routing::direct_reads::{MAX_PROOF_AGE, SourceState, is_first_reader};
 use crate::routing::members::Member;
 use crate::routing::mirror::Update;
 use crate::routing::windows::{SentTallies, Tallies};
 
 /// Path of the pull endpoint.
 const PULL_PATH: &str = "/pull";
-/// Maximum time that a pull request is held if nothing changes. It exceeds the time between two
-/// proofs of an instance that reads the store, so that changes pass down all levels of the tree
-/// without waiting for the next pull.
-const MAX_HOLD: Duration = Duration::from_millis(1_000);
 /// Hold time that an instance with downstream peers asks for. It forwards their counts, which must
 /// pass three levels of the tree and reach the store before the counts of a window are finalised.
 const MAX_HOLD_WITH_DOWNSTREAM: Duration = Duration::from_millis(300);
 /// Time since the last pull request after which an instance has no downstream peers; these pull
 /// about once a second.
 const DOWNSTREAM_TIMEOUT: Duration = Duration::from_secs(3);
-/// Minimum hold time if there is only a newer proof.
-const MIN_HOLD: Duration = Duration::from_millis(200);
 /// Time in addition to the hold within which an upstream peer must respond.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(500);
-/// Maximum size of a pull request, which contains the counts of a few windows.
-const MAX_REQUEST_BYTES: usize = 1 << 20;
-/// Age of the configuration proof from which the upstream peer counts as failed and the store is
-/// read directly.
-const MAX_PROOF_AGE: Duration = Duration::from_millis(1_900);
+/// Hold time that an instance without any state asks for: a peer that starts at the same time has
+/// its own state by then.
+const HOLD_AT_START: Duration = Duration::from_millis(600);
+/// Maximum size of a response: about ten times the state of the largest fleet, uncompressed.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Delay before the upstream peer is selected again, if there is none or the proof was stale.
 const UPSTREAM_CHECK_PERIOD: Duration = Duration::from_millis(200);
 /// Initial delay after a failed pull.
@@ -58,8 +50,8 @@
 /// Maximum delay after a failed pull. By then all peers have stale proofs, so that waiting costs
 /// little.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
-/// Time for which the store is read directly after the start, a stale proof or a failed pull,
-/// unless a peer responds earlier.
+/// Time for which the store is read directly once that is due, unless a peer has newer state
+/// earlier.
 const DIRECT_READ_TIME: Duration = Duration::from_secs(3);
 
 value! {
@@ -71,115 +63,95 @@
         pub tallies: Tallies,
         /// Maximum time to hold the request, in ms.
         pub hold_ms: u64,
-    }
-
-    /// Response of an upstream peer.
-    pub struct PullResponse {
-        /// Updates of the collections of which the sender has an older revision.
-        pub updates: BTreeMap<Collection, Update>,
-        /// Age of the proof that the configuration is current, in ms.
-        pub proof_age_ms: Option<u64>,
-        /// How long the request was held, in ms.
-        pub held_ms: u64,
-        /// Name of the responding process; a different process lacks the counts sent to this one.
+        /// Whether the updates may follow the first line of the response instead of being a part of
+        /// it. Earlier versions don't support that.
         #[serde(default)]
-        pub process: String,
-        /// Whether the peer reads the store directly and its last configuration call failed.
-        #[serde(default, rename = "is_turned_away")]
-        pub is_store_failing: bool,
+        pub accepts_separate_updates: bool,
     }
 }
 
-/// Serves pull requests until the process exits.
-pub async fn serve(cx: Rc<InstanceState>, listener: TcpListener) {
-    listen::serve(listener, "peers", move |req| handle_pull(cx.clone(), req)).await;
-}
-
-async fn handle_pull(cx: Rc<InstanceState>, req: Request<Incoming>) -> Response<ResponseBody> {
-    let (status, body) = match read_request(req).await {
-        Ok(pull) => match serde_json::to_vec(&build_response(&cx, &pull).await) {
-            Ok(bytes) => (StatusCode::OK, bytes),
-            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string().into_bytes()),
-        },
-        Err(why) => (StatusCode::BAD_REQUEST, why.into_bytes()),
-    };
-    let mut rsp = Response::new(full_body(body));
-    *rsp.status_mut() = status;
-    rsp
-}
-
-async fn read_request(req: Request<Incoming>) -> Result<PullRequest, String> {
-    let body = Limited::new(req.into_body(), MAX_REQUEST_BYTES).collect().await;
-    let bytes = body.map_err(|error| error.to_string())?.to_bytes();
-    serde_json::from_slice(&bytes).map_err(|error| error.to_string())
+/// First line of the response of an upstream peer; the updates may follow it.
+#[derive(Debug, Clone, Default, serde::Serialize, serde::Deserialize)]
+pub struct PullHead {
+    /// Updates of the collections of which the sender has an older revision, unless they follow.
+    #[serde(default)]
+    pub updates: BTreeMap<Collection, Update>,
+    /// Whether the updates that follow are compressed with gzip.
+    #[serde(default)]
+    pub are_updates_compressed: bool,
+    /// Age of the proof that the configuration is current, in ms.
+    pub proof_age_ms: Option<u64>,
+    /// How long the request was held, in ms.
+    pub held_ms: u64,
+    /// Name of the responding process; a different process lacks the counts sent to this one.
+    #[serde(default)]
+    pub process: String,
+    /// Whether the peer reads the store directly and its last configuration call failed.
+    #[serde(default, rename = "is_turned_away")]
+    pub is_store_failing: bool,
 }
 
-/// Waits until there is something new for the sender or the hold time ends.
-async fn build_response(cx: &InstanceState, pull: &PullRequest) -> PullResponse {
-    let received_at = Instant::now();
-    cx.last_pull_at.set(Some(received_at));
-    cx.tallies.borrow_mut().merge(&pull.tallies);
-    let hold = Duration::from_millis(pull.hold_ms).min(MAX_HOLD);
-    let former_proof = *cx.proof.borrow();
-    let mut changes = cx.changes.subscribe();
-    loop {
-        changes.mark_unchanged();
-        let updates = missing_updates(cx, &pull.known);
-        let held = received_at.elapsed();
-        let left = hold.saturating_sub(held);
-        let has_changes = updates.values().any(|u| u.is_snapshot || !u.items.is_empty());
-        let has_newer_proof = held >= MIN_HOLD && *cx.proof.borrow() != former_proof;
-        let is_store_failing = is_store_failing(cx);
-        if has_changes || has_newer_proof || is_store_failing || left.is_zero() {
-            let proof_age = cx.proof.borrow().age(BootTime::now());
-            return PullResponse {
-                updates,
-                // Rounded up, so that the proof doesn't seem newer than it is.
-                proof_age_ms: proof_age.map(|age| age.as_millis() as u64 + 1),
-                held_ms: held.as_millis() as u64,
-                process: cx.process_name.clone(),
-                is_store_failing,
-            };
+impl PullHead {
+    /// Decodes a response.
+    ///
+    /// # Errors
+    /// Describes what is malformed.
+    pub fn decode(body: &[u8]) -> Result<Self, String> {
+        let end = body.iter().position(|byte| *byte == b'\n').unwrap_or(body.len());
+        let (line, rest) = body.split_at(end);
+        let mut head: Self = serde_json::from_slice(line).map_err(|error| error.to_string())?;
+        let Some(updates) = rest.get(1..).filter(|updates| !updates.is_empty()) else {
+            return Ok(head);
+        };
+        head.updates = if head.are_updates_compressed {
+            serde_json::from_slice(&decompress(updates)?)
+        } else {
+            serde_json::from_slice(updates)
         }
-        // The loop re-evaluates the state after a change and after the time-out.
-        let _ = tokio::time::timeout(left, changes.changed()).await;
+        .map_err(|error| format!("updates: {error}"))?;
+        Ok(head)
     }
 }
 
-fn is_store_failing(cx: &InstanceState) -> bool {
-    *cx.reads_store.borrow() && *cx.failed_config_calls.borrow() > 0
-}
-
-fn missing_updates(
-    cx: &InstanceState,
-    known: &BTreeMap<Collection, u64>,
-) -> BTreeMap<Collection, Update> {
-    let mirrors = cx.mirrors.borrow();
-    let updates = SYNCED_COLLECTIONS.into_iter().filter_map(|collection| {
-        let update = mirrors.get(&collection)?.changes_since(known.get(&collection).copied())?;
-        Some((collection, update))
-    });
-    updates.collect()
+fn decompress(bytes: &[u8]) -> Result<Vec<u8>, String> {
+    let mut text = Vec::new();
+    let mut limited = GzDecoder::new(bytes).take(MAX_RESPONSE_BYTES as u64 + 1);
+    limited.read_to_end(&mut text).map_err(|error| format!("decompressing: {error}"))?;
+    if text.len() > MAX_RESPONSE_BYTES {
+        return Err(format!("updates are longer than {MAX_RESPONSE_BYTES} bytes"));
+    }
+    Ok(text)
 }
 
 /// Pulls the platform's state from the upstream peer, and decides when to read the store directly.
 pub async fn sync_from_peers(cx: Rc<InstanceState>, client: reqwest::Client) {
     let this_instance = cx.cfg().instance.clone();
     let data_centre = cx.cfg().data_centre.clone();
-    let mut direct_read_until = Instant::now() + DIRECT_READ_TIME;
+    let started_at = Instant::now();
+    let mut direct_read_until = started_at;
+    let mut last_response_at = None;
     let mut failures = 0;
     let mut sent_tallies = SentTallies::default();
     loop {
         let now = Instant::now();
-        let age = cx.proof.borrow().age(BootTime::now());
-        let is_stale = age.is_none_or(|age| age > MAX_PROOF_AGE);
-        if is_stale {
+        let source = SourceState {
+            proof_age: cx.proof.borrow().age(BootTime::now()),
+            uptime: started_at.elapsed(),
+            has_seed: cx.cfg().has_other_seed(),
+            rank: cx.members.borrow().rank_in(&data_centre, &this_instance),
+            since_response: last_response_at.map(|at: Instant| at.elapsed()),
+        };
+        if source.needs_direct_read() {
             direct_read_until = now + DIRECT_READ_TIME;
         }
+        let is_stale = source.is_stale();
         let upstream =
             clone_member(cx.members.borrow().upstream_peer(now, &this_instance, &data_centre));
-        set_reads_store(&cx, upstream.is_none() || now < direct_read_until);
-        let needs_fallback = upstream.is_none() && (is_stale || is_store_failing(&cx));
+        let has_members = cx.members.borrow().count() > 0;
+        let is_root = upstream.is_none();
+        let may_wait_for_seed = source.has_seed && !has_members && !source.needs_direct_read();
+        set_reads_store(&cx, (is_root && !may_wait_for_seed) || now < direct_read_until);
+        let needs_fallback = upstream.is_none() && (is_stale || cx.is_store_failing());
         let random_peer =
             || clone_member(cx.members.borrow().random_peer(now, &this_instance, rand::random()));
         let fallback = needs_fallback
@@ -191,12 +163,25 @@
         };
         let has_downstream =
             cx.last_pull_at.get().is_some_and(|at| at.elapsed() < DOWNSTREAM_TIMEOUT);
-        let hold = match (is_stale, has_downstream) {
-            (true, _) => Duration::ZERO,
-            (false, true) => MAX_HOLD_WITH_DOWNSTREAM,
-            (false, false) => MAX_HOLD,
+        let hold = if source.proof_age.is_none() {
+            HOLD_AT_START
+        } else if is_stale || !sent_tallies.is_usable(&name) {
+            Duration::ZERO
+        } else if has_downstream {
+            MAX_HOLD_WITH_DOWNSTREAM
+        } else {
+            MAX_HOLD
         };
-        match pull_from(&cx, &client, &member, hold, &mut sent_tallies).await {
+        let pulled = tokio::select! {
+            pulled = pull_from(&cx, &client, &name, &member, hold, &mut sent_tallies) => pulled,
+            // The seed may be down, while the instances are known meanwhile.
+            () = wait_for_members(&cx), if !has_members => continue,
+        };
+        sent_tallies.record_response(&name, pulled.is_ok());
+        if !matches!(pulled, Err(PullError::NoResponse(_))) {
+            last_response_at = Some(Instant::now());
+        }
+        match pulled {
             Ok(()) => {
                 failures = 0;
                 direct_read_until = Instant::now();
@@ -204,14 +189,16 @@
                     tokio::time::sleep(UPSTREAM_CHECK_PERIOD).await;
                 }
             }
-            Err(why) => {
+            Err(PullError::NoResponse(why) | PullError::Unusable(why)) => {
                 tracing::warn!(
                     peer = %name,
                     why,
                     "pull from peer failed; trying another peer or the store"
                 );
                 cx.members.borrow_mut().skip(Instant::now(), &name);
-                direct_read_until = Instant::now() + DIRECT_READ_TIME;
+                if has_members && is_first_reader(source.rank) {
+                    direct_read_until = Instant::now() + DIRECT_READ_TIME;
+                }
                 let delay = RETRY_DELAY.mul_f64(RETRY_DELAY_FACTOR.powi(failures));
                 tokio::time::sleep(delay.min(MAX_RETRY_DELAY)).await;
                 failures = (failures + 1).min(MAX_RETRY_DELAY_EXPONENT);
@@ -220,6 +207,11 @@
     }
 }
 
+async fn wait_for_members(cx: &InstanceState) {
+    let mut changes = cx.changes.subscribe();
+    while cx.members.borrow().count() == 0 && changes.changed().await.is_ok() {}
+}
+
 fn clone_member(found: Option<(&InstanceName, &Member)>) -> Option<(InstanceName, Member)> {
     found.map(|(name, member)| (name.clone(), member.clone()))
 }
@@ -255,29 +247,43 @@
     }
 }
 
+/// Why a pull from a peer brought no current state.
+#[derive(Debug)]
+enum PullError {
+    /// The peer didn't respond.
+    NoResponse(String),
+    /// The response is malformed, its proof is missing or stale, or the peer's calls to the store
+    /// fail.
+    Unusable(String),
+}
+
 /// Sends one pull request to a peer, with the counts that were not sent to it yet.
-///
-/// # Errors
-/// Describes why the peer can't be used: it doesn't respond, its proof is missing or stale, or its
-/// calls to the store fail.
-pub async fn pull_from(
+async fn pull_from(
     cx: &InstanceState,
     client: &reqwest::Client,
+    name: &InstanceName,
     member: &Member,
     hold: Duration,
     sent_tallies: &mut SentTallies,
-) -> Result<(), String> {
+) -> Result<(), PullError> {
     cx.metrics.add(Counter::PeerMessages, "pull", 1);
     let sent_at = BootTime::now();
     let pull = PullRequest {
-        known: known_revisions(cx),
-        tallies: sent_tallies.unsent(&cx.tallies.borrow()),
+        known: cx.revisions(),
+        tallies: sent_tallies.unsent(name, &cx.tallies.borrow()),
         hold_ms: hold.as_millis() as u64,
+        accepts_separate_updates: true,
     };
     let url = format!("http://{}{PULL_PATH}", member.address);
     let req = client.post(url).timeout(hold + RESPONSE_MARGIN).json(&pull);
-    let rsp = req.send().await.map_err(|error| http::error_chain(&error))?;
-    let response: PullResponse = rsp.json().await.map_err(|error| http::error_chain(&error))?;
+    let rsp = req.send().await.map_err(|error| PullError::NoResponse(http::error_chain(&error)))?;
+    let status = rsp.status();
+    let body = http::read_limited(rsp, MAX_RESPONSE_BYTES).await.map_err(PullError::NoResponse)?;
+    if !status.is_success() {
+        let why = String::from_utf8_lossy(&body);
+        return Err(PullError::Unusable(format!("status {status}: {why}")));
+    }
+    let response = PullHead::decode(&body).map_err(PullError::Unusable)?;
     sent_tallies.record_acknowledged(response.process, &pull.tallies);
     let proof_age = response.proof_age_ms.map(Duration::from_millis);
     if proof_age.is_some_and(|age| age < MAX_PROOF_AGE) {
@@ -286,22 +292,19 @@
     for (collection, update) in &response.updates {
         apply_update(cx, *collection, update);
     }
-    let age = proof_age.ok_or("peer has no proof of its configuration")?;
+    let no_proof = || PullError::Unusable("peer has no proof of its configuration".to_owned());
+    let age = proof_age.ok_or_else(no_proof)?;
     // The stated age is as of the response, which the peer sent after the hold.
     let proved_at = sent_at.after(Duration::from_millis(response.held_ms)).before(age);
     cx.record_proof(proved_at);
     if age > MAX_PROOF_AGE {
-        return Err(format!("peer's configuration proof is stale: {} ms old", age.as_millis()));
+        let age_ms = age.as_millis();
+        return Err(PullError::Unusable(format!(
+            "peer's configuration proof is stale: {age_ms} ms old"
+        )));
     }
     if response.is_store_failing {
-        return Err("peer's calls to the store fail".to_owned());
+        return Err(PullError::Unusable("peer's calls to the store fail".to_owned()));
     }
     Ok(())
 }
-
-fn known_revisions(cx: &InstanceState) -> BTreeMap<Collection, u64> {
-    let mirrors = cx.mirrors.borrow();
-    let revision =
-        |collection: Collection| Some((collection, mirrors.get(&collection)?.revision()?));
-    SYNCED_COLLECTIONS.into_iter().filter_map(revision).collect()
-}
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -22,9 +22,22 @@
 /// the time after which an instance counts as dead.
 const LIVENESS_CHECK_PERIOD: Duration = Duration::from_secs(15);
 
+/// Time for which an instance that starts beside others waits for their entries, which show whether
+/// its own is still there from before a restart.
+const ENTRIES_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Registers this instance, so that the others find it, and again whenever its entry is missing.
 pub async fn register(cx: Rc<InstanceState>, store: Store, timer: Timer) {
-    write_entry(&cx, &store).await;
+    if cx.cfg().has_other_seed() {
+        let mut changes = cx.changes.subscribe();
+        let received = async {
+            while !cx.has_received(Collection::Instances) && changes.changed().await.is_ok() {}
+        };
+        let _ = tokio::time::timeout(ENTRIES_TIMEOUT, received).await;
+    }
+    if !cx.members.borrow().has(&cx.cfg().instance, &own_entry(&cx)) {
+        write_entry(&cx, &store).await;
+    }
     let mut ticks = timer.every(REGISTRATION_CHECK_PERIOD);
     while ticks.recv().await.is_some() {
         if !is_registered(&cx) {
@@ -41,10 +54,15 @@
     members.count() == 0 || members.names().any(|name| name == this_instance)
 }
 
+fn own_entry(cx: &InstanceState) -> Member {
+    let cfg = cx.cfg();
+    Member { data_centre: cfg.data_centre.clone(), address: cfg.peer_address }
+}
+
 async fn write_entry(cx: &InstanceState, store: &Store) {
     let cfg = cx.cfg();
     let name = cfg.instance.as_str();
-    let member = Member { data_centre: cfg.data_centre.clone(), address: cfg.peer_address };
+    let member = own_entry(cx);
     loop {
         cx.metrics.add(Counter::PlatformCalls, Collection::Instances.label(), 1);
         let created = store.create(Collection::Instances, name, &member).await;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,7 +12,7 @@
 use super::ingress::{self, ACCEPT_GRACE};
 use super::settings::GatewaySettings;
 use super::shared::{InstanceState, ShutdownTimes};
-use super::{peers, roster, scaling, status, sync, usage};
+use super::{peers, pulls, roster, scaling, status, sync, usage};
 use crate::clock::{BootTime, wall_millis};
 use crate::platform::duties::DutyClient;
 use crate::platform::settings::parse;
@@ -56,8 +56,8 @@
     let cx = Rc::new(InstanceState::new(cfg));
     let timer = Timer::start();
     sync::start(&cx, &store);
-    tokio::task::spawn_local(peers::serve(cx.clone(), peer_listener));
-    let client = http::client()?;
+    tokio::task::spawn_local(pulls::serve(cx.clone(), peer_listener));
+    let client = http::peer_client()?;
     tokio::task::spawn_local(peers::sync_from_peers(cx.clone(), client.clone()));
     let duty_lease = Rc::new(DutyLease::default());
     let lease_task =
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -50,6 +50,13 @@
     pub scaling: ScalingSettings,
 }
 
+impl GatewaySettings {
+    /// Returns whether this instance can start from the state of a seed, and is none itself.
+    pub fn has_other_seed(&self) -> bool {
+        !self.seeds.is_empty() && !self.seeds.contains(&self.peer_address)
+    }
+}
+
 impl Default for GatewaySettings {
     fn default() -> Self {
         let unset = SocketAddr::from(([127, 0, 0, 1], 0));
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of an instance: settings, its view of the fleet, and counters.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -111,7 +111,7 @@
             mirrors: RefCell::default(),
             last_pull_at: Cell::new(None),
             changes: watch::Sender::new(0),
-            reads_store: watch::Sender::new(true),
+            reads_store: watch::Sender::new(!cfg.has_other_seed()),
             cfg: RefCell::new(Rc::new(cfg)),
             catalog: RefCell::default(),
             fleet: RefCell::default(),
@@ -153,7 +153,7 @@
     pub fn is_ready(&self) -> bool {
         let max_age = self.cfg.borrow().max_withdrawal_delay.mul_f64(READY_PROOF_FRACTION);
         let is_proved = self.proof.borrow().is_fresh(BootTime::now(), max_age);
-        is_proved && !self.is_draining() && self.catalog.borrow().version > 0
+        is_proved && !self.is_draining() && self.can_route()
     }
 
     /// Returns whether this instance is shutting down.
@@ -192,6 +192,30 @@
         is_unavailable(*self.failed_config_calls.borrow())
     }
 
+    /// Returns whether this instance reads the store directly and its last configuration call failed.
+    pub fn is_store_failing(&self) -> bool {
+        *self.reads_store.borrow() && *self.failed_config_calls.borrow() > 0
+    }
+
+    /// Returns the revisions of the local copies of the collections.
+    pub fn revisions(&self) -> BTreeMap<Collection, u64> {
+        let mirrors = self.mirrors.borrow();
+        let revision =
+            |(collection, mirror): (&Collection, &Mirror)| Some((*collection, mirror.revision()?));
+        mirrors.iter().filter_map(revision).collect()
+    }
+
+    /// Returns whether a collection was received at least once.
+    pub fn has_received(&self, collection: Collection) -> bool {
+        self.mirrors.borrow().get(&collection).is_some_and(|mirror| mirror.revision().is_some())
+    }
+
+    /// Returns whether the configuration and the backend servers are known, so that requests can be
+    /// sent.
+    pub fn can_route(&self) -> bool {
+        self.catalog.borrow().version > 0 && self.has_received(Collection::Servers)
+    }
+
     /// Returns the number of instances that share the fleet-wide limits.
     pub fn instance_count(&self) -> usize {
         self.members.borrow().count().max(1)
@@ -210,6 +234,11 @@
         }
     }
 
+    /// Returns whether any request was received since the start of the process.
+    pub fn has_traffic(&self) -> bool {
+        !self.budgets.borrow().is_empty()
+    }
+
     /// Returns the settings of the server choice, with the engines split between short and long
     /// prompts according to the recent work mix.
     fn choice_settings(&self, service: &Service, cfg: &GatewaySettings) -> ChoiceSettings {
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -25,9 +25,16 @@
 const DATA_CENTRES_OUT_WATCH_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Timeout of a watch of instances, which rarely change.
 const INSTANCES_WATCH_TIMEOUT: Duration = Duration::from_millis(5_000);
-/// Minimum time between two calls for backend servers, whose entries change constantly in a large
-/// fleet; a quarter of the maximum time for noticing a draining backend server.
-const MIN_SERVERS_CALL_PERIOD: Duration = Duration::from_millis(500);
+/// Minimum time between two calls for a collection other than the configuration, as the entries of
+/// a large fleet change constantly; a quarter of the maximum time for noticing a draining backend
+/// server.
+const MIN_CALL_PERIOD: Duration = Duration::from_millis(500);
+/// Time that an instance which starts waits for a seed before it lists the instances, to find
+/// another one to pull from.
+const SEED_WAIT: Duration = Duration::from_millis(100);
+/// Time for which an instance that begins to read the store reads the configuration only, if it
+/// knows the other collections already. In most cases a peer has newer state by then.
+const CONFIG_ONLY_TIME: Duration = Duration::from_millis(200);
 /// Delay after a failed call; it doubles with each consecutive failure and is jittered.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// Maximum delay after a failed call; about half of the maximum time for the rest of the
@@ -54,14 +61,8 @@
 
 impl CollectionWatcher {
     async fn run(mut self) {
-        let mut reads = self.cx.reads_store.subscribe();
-        let mut failures = self.cx.failed_config_calls.subscribe();
         loop {
-            // `wait_for` fails only after the sender is dropped, and this task keeps it alive.
-            let _ = reads.wait_for(|reads| *reads).await;
-            if self.collection != Collection::Configs {
-                let _ = failures.wait_for(|failures| !is_unavailable(*failures)).await;
-            }
+            self.wait_until_due().await;
             let sent_at = BootTime::now();
             let known =
                 self.cx.mirrors.borrow().get(&self.collection).and_then(|mirror| mirror.revision());
@@ -77,9 +78,9 @@
                     if self.collection == Collection::Configs {
                         self.cx.record_proof(sent_at);
                     }
-                    if self.collection == Collection::Servers {
+                    if self.collection != Collection::Configs {
                         let elapsed = BootTime::now().since(sent_at);
-                        tokio::time::sleep(MIN_SERVERS_CALL_PERIOD.saturating_sub(elapsed)).await;
+                        tokio::time::sleep(MIN_CALL_PERIOD.saturating_sub(elapsed)).await;
                     }
                 }
                 Err(_) => {
@@ -89,6 +90,35 @@
         }
     }
 
+    /// Waits until this instance reads the store. Collections other than the configuration also wait
+    /// until a configuration call has shown that the store can be read.
+    async fn wait_until_due(&self) {
+        // `wait_for` and `changed` fail only after the sender is dropped, and this task keeps it
+        // alive.
+        let mut reads = self.cx.reads_store.subscribe();
+        if self.collection == Collection::Instances && !self.cx.has_received(self.collection) {
+            let _ = tokio::time::timeout(SEED_WAIT, reads.wait_for(|reads| *reads)).await;
+            if !self.cx.has_received(self.collection) {
+                return;
+            }
+        }
+        loop {
+            let was_reading = *reads.borrow();
+            let _ = reads.wait_for(|reads| *reads).await;
+            if self.collection == Collection::Configs {
+                return;
+            }
+            if !was_reading && self.cx.has_received(self.collection) {
+                tokio::time::sleep(CONFIG_ONLY_TIME).await;
+            } else if self.is_proof_stale() || self.cx.is_store_unavailable() {
+                let mut changes = self.cx.changes.subscribe();
+                let _ = tokio::time::timeout(CONFIG_ONLY_TIME, changes.changed()).await;
+            } else {
+                return;
+            }
+        }
+    }
+
     async fn list(&self) -> Result<Update, PlatformError> {
         let (objects, revision) = self.store.list(self.collection).await?;
         let items = objects.into_iter().map(|object| item(object, false)).collect();
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -14,7 +14,6 @@
 use crate::clock::BootTime;
 use crate::metrics::Counter;
 use crate::platform::duties::DutyClient;
-use crate::platform::store::StoredObject;
 use crate::platform::{Collection, PlatformError, Store};
 use crate::routing::windows::{RequestCounts, Tallies, may_finalise};
 use crate::timer::Timer;
@@ -74,6 +73,8 @@
             }
             // An earlier create took effect, but its response was lost.
             Err(PlatformError::Conflict) => self.exists = true,
+            // Deleted by a lease holder that took this process for dead.
+            Err(PlatformError::NotFound) => self.exists = false,
             Err(error) => {
                 cx.metrics.add(Counter::PlatformFailures, Collection::Tallies.label(), 1);
                 tracing::warn!(%error, "publishing request counts failed; retrying");
@@ -163,18 +164,14 @@
 ) -> Result<RequestCounts, PlatformError> {
     let name = window.to_string();
     cx.metrics.add(Counter::PlatformCalls, Collection::Seals.label(), 2);
-    let (objects, _) = store.list(Collection::Tallies).await?;
-    let published = read_published(&objects);
-    let mut merged = Tallies::default();
-    published.iter().for_each(|(_, tallies)| merged.merge(tallies));
-    let counts = merged.sum(window);
+    let published = read_published(store, window).await?;
+    let counts = published.tallies.sum(window);
     match store.create(Collection::Seals, &name, &counts).await {
         Ok(_) => {
-            let oldest = window.saturating_sub(RETAINED_WINDOWS);
-            let old = published.iter().filter(|(_, tallies)| tallies.latest_window() < oldest);
-            for (name, _) in old.take(MAX_DELETED_TALLIES) {
+            for name in &published.outdated {
                 delete_object(store, Collection::Tallies, name).await;
             }
+            let oldest = window.saturating_sub(RETAINED_WINDOWS);
             delete_object(store, Collection::Seals, &oldest.to_string()).await;
             Ok(counts)
         }
@@ -186,20 +183,37 @@
     }
 }
 
-/// Decodes published tallies; invalid ones are logged and skipped.
-fn read_published(objects: &[StoredObject]) -> Vec<(&str, Tallies)> {
-    let read = objects.iter().map(|object| {
-        let tallies = <Tallies as serde::Deserialize>::deserialize(&object.value);
-        (object.name.as_str(), tallies)
-    });
-    read.filter_map(|(name, tallies)| match tallies {
-        Ok(tallies) => Some((name, tallies)),
-        Err(error) => {
-            tracing::error!(name, %error, "published request counts are invalid; skipping them");
-            None
-        }
-    })
-    .collect()
+/// What all instances published, as needed to seal one window.
+#[derive(Debug, Default)]
+struct Published {
+    /// Counts of the window.
+    tallies: Tallies,
+    /// Names of objects whose processes are gone, at most [`MAX_DELETED_TALLIES`].
+    outdated: Vec<String>,
+}
+
+/// Reads the published counts of a window page by page, as the objects of a large fleet exceed the
+/// memory of a small instance; invalid ones are logged and skipped.
+async fn read_published(store: &Store, window: u64) -> Result<Published, PlatformError> {
+    let oldest = window.saturating_sub(RETAINED_WINDOWS);
+    let mut published = Published::default();
+    store
+        .for_each::<Tallies>(Collection::Tallies, |name, tallies| match tallies {
+            Ok(mut tallies) => {
+                if tallies.latest_window() < oldest
+                    && published.outdated.len() < MAX_DELETED_TALLIES
+                {
+                    published.outdated.push(name.to_owned());
+                }
+                tallies.retain_windows(window..=window);
+                published.tallies.merge(&tallies);
+            }
+            Err(error) => {
+                tracing::error!(name, %error, "published request counts are invalid; skipping them")
+            }
+        })
+        .await?;
+    Ok(published)
 }
 
 async fn delete_object(store: &Store, collection: Collection, name: &str) {
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -2,18 +2,53 @@
 
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use reqwest::redirect::Policy;
 
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of opening a connection to another instance, after which the next one is tried.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which an idle connection is closed; about ten pull requests or watches fit into it.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum number of idle connections to one address.
+const MAX_IDLE_PER_HOST: usize = 4;
 
 /// Creates a client that ignores proxy settings of the environment and follows no redirects.
 ///
 /// # Errors
 /// Fails if the client can't be built.
 pub fn client() -> eyre::Result<reqwest::Client> {
+    client_with(CONNECT_TIMEOUT)
+}
+
+/// Creates a client for other instances, which has a shorter timeout for opening a connection.
+///
+/// # Errors
+/// Fails if the client can't be built.
+pub fn peer_client() -> eyre::Result<reqwest::Client> {
+    client_with(PEER_CONNECT_TIMEOUT)
+}
+
+fn client_with(connect_timeout: Duration) -> eyre::Result<reqwest::Client> {
     let builder = reqwest::Client::builder().no_proxy().redirect(Policy::none());
-    Ok(builder.connect_timeout(CONNECT_TIMEOUT).build()?)
+    let builder = builder.pool_idle_timeout(IDLE_TIMEOUT).pool_max_idle_per_host(MAX_IDLE_PER_HOST);
+    Ok(builder.connect_timeout(connect_timeout).build()?)
+}
+
+/// Reads a response body of at most `max` bytes.
+///
+/// # Errors
+/// Describes why the body is incomplete: the connection failed, or the body is longer.
+pub async fn read_limited(mut rsp: reqwest::Response, max: usize) -> Result<Bytes, String> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = rsp.chunk().await.map_err(|error| error_chain(&error))? {
+        if body.len() + chunk.len() > max {
+            return Err(format!("the response body is longer than {max} bytes"));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
 }
 
 /// Returns the message of a failed call with those of all its causes.
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -14,6 +14,8 @@
 
 /// Timeout of a call, after which its outcome is unknown.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum size of a response: several times the largest list or object.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
 
 choice! {
     /// Kinds of objects that this program stores, each in its own collection.
@@ -282,8 +284,8 @@
     }
     let rsp = req.send().await.map_err(|error| call_error(&error))?;
     let status = rsp.status();
-    let body = rsp.bytes().await.map_err(|error| PlatformError::Unknown(error.to_string()))?;
-    Ok((status, body))
+    let body = super::http::read_limited(rsp, MAX_RESPONSE_BYTES).await;
+    Ok((status, body.map_err(PlatformError::Unknown)?))
 }
 
 /// Maps the status of a response to the outcome of the call.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,9 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use reqwest::{Method, StatusCode};
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::de::{DeserializeOwned, IgnoredAny};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
 use serde_json::{Value, json};
 
 use super::headers::base_url;
@@ -97,10 +99,11 @@
 }
 
 #[derive(Deserialize)]
-struct WireObject {
+#[serde(bound(deserialize = "T: Deserialize<'de> + Default"))]
+struct WireObject<T = Value> {
     metadata: WireMetadata,
     #[serde(default)]
-    spec: Value,
+    spec: T,
 }
 
 #[derive(Deserialize)]
@@ -111,9 +114,9 @@
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct WireList {
-    items: Vec<WireObject>,
+#[serde(rename_all = "kebab-case", bound(deserialize = "T: Deserialize<'de> + Default"))]
+struct WireList<T = Value> {
+    items: Vec<WireObject<T>>,
     #[serde(default)]
     has_more: bool,
     /// Revision of the store at which the list was read.
@@ -165,17 +168,52 @@
         collection: Collection,
     ) -> Result<(Vec<StoredObject>, u64), PlatformError> {
         let mut found: Vec<StoredObject> = Vec::new();
+        let at = self
+            .for_each_page::<Value>(collection, |items| {
+                found.extend(items.into_iter().map(StoredObject::from));
+            })
+            .await?;
+        Ok((found, at))
+    }
+
+    /// Reads a collection without keeping more than one page of it, and returns the revision from
+    /// which a watch can start.
+    ///
+    /// `visit` gets the name of each object with its value, or the reason why it can't be decoded.
+    ///
+    /// # Errors
+    /// Returns the error of a failed call; a part of the objects may have been visited by then.
+    pub async fn for_each<T: DeserializeOwned>(
+        &self,
+        collection: Collection,
+        mut visit: impl FnMut(&str, Result<T, PlatformError>),
+    ) -> Result<u64, PlatformError> {
+        self.for_each_page::<MaybeDecoded<T>>(collection, |items| {
+            for item in items {
+                visit(&item.metadata.name, item.spec.0.map_err(PlatformError::Malformed));
+            }
+        })
+        .await
+    }
+
+    async fn for_each_page<T: DeserializeOwned + Default>(
+        &self,
+        collection: Collection,
+        mut visit: impl FnMut(Vec<WireObject<T>>),
+    ) -> Result<u64, PlatformError> {
+        let mut after: Option<String> = None;
         let mut first_at = None;
         loop {
-            let after = found.last().map(|last| format!("?after={}", last.name));
-            let url = format!("{}/{}{}", self.base, collection.as_str(), after.unwrap_or_default());
-            let page: WireList = from_value(self.call(Method::GET, &url, None).await?)?;
+            let query = after.map(|name| format!("?after={name}")).unwrap_or_default();
+            let url = format!("{}/{}{query}", self.base, collection.as_str());
+            let page: WireList<T> = self.call(Method::GET, &url, None).await?;
             // Changes while later pages are read may be missing from earlier pages, so the watch
             // must start from the revision of the first page.
             let at = *first_at.get_or_insert(page.at);
-            found.extend(page.items.into_iter().map(StoredObject::from));
-            if !page.has_more {
-                return Ok((found, at));
+            after = page.items.last().map(|last| last.metadata.name.clone());
+            visit(page.items);
+            if !page.has_more || after.is_none() {
+                return Ok(at);
             }
         }
     }
@@ -199,7 +237,7 @@
             return Ok(WatchResult::HistoryExpired);
         }
         check_status(status)?;
-        let events: WireEvents = from_value(body)?;
+        let events: WireEvents = decode(&body)?;
         let changes = events
             .events
             .into_iter()
@@ -216,7 +254,9 @@
         collection: Collection,
         name: &str,
     ) -> Result<Object<T>, PlatformError> {
-        decode_object(self.call(Method::GET, &self.url(collection, name), None).await?)
+        let wire: WireObject = self.call(Method::GET, &self.url(collection, name), None).await?;
+        let version = wire.metadata.revision.to_string();
+        Ok(Object { name: wire.metadata.name, version, spec: from_value(wire.spec)? })
     }
 
     /// Creates an object if its name is unused, and returns its version.
@@ -231,7 +271,7 @@
     ) -> Result<String, PlatformError> {
         let url = format!("{}/{}", self.base, collection.as_str());
         let body = json!({ "metadata": { "name": name }, "spec": value });
-        decode_version(self.call(Method::POST, &url, Some(body)).await?)
+        self.call(Method::POST, &url, Some(body)).await.map(version)
     }
 
     /// Replaces an object if it has the expected version, or unconditionally if that is `None`.
@@ -256,7 +296,7 @@
             metadata["revision"] = revision.into();
         }
         let body = json!({ "metadata": metadata, "spec": value });
-        decode_version(self.call(Method::PUT, &self.url(collection, name), Some(body)).await?)
+        self.call(Method::PUT, &self.url(collection, name), Some(body)).await.map(version)
     }
 
     /// Deletes an object.
@@ -264,21 +304,24 @@
     /// # Errors
     /// Returns the error of a failed call.
     pub async fn delete(&self, collection: Collection, name: &str) -> Result<(), PlatformError> {
-        self.call(Method::DELETE, &self.url(collection, name), None).await.map(drop)
+        let url = self.url(collection, name);
+        let (status, _) = self.send(Method::DELETE, &url, None, CALL_TIMEOUT).await?;
+        check_status(status)
     }
 
     fn url(&self, collection: Collection, name: &str) -> String {
         format!("{}/{}/{name}", self.base, collection.as_str())
     }
 
-    async fn call(
+    async fn call<T: DeserializeOwned>(
         &self,
         method: Method,
         url: &str,
         body: Option<Value>,
-    ) -> Result<Value, PlatformError> {
+    ) -> Result<T, PlatformError> {
         let (status, body) = self.send(method, url, body, CALL_TIMEOUT).await?;
-        check_status(status).map(|()| body)
+        check_status(status)?;
+        decode(&body)
     }
 
     async fn send(
@@ -287,24 +330,32 @@
         url: &str,
         body: Option<Value>,
         timeout: Duration,
-    ) -> Result<(StatusCode, Value), PlatformError> {
+    ) -> Result<(StatusCode, Bytes), PlatformError> {
         let req = self.http.request(method, url).timeout(timeout);
-        let (status, text) = send_request(req, body).await?;
-        if text.is_empty() || !status.is_success() {
-            return Ok((status, Value::Null));
-        }
-        let body = serde_json::from_slice(&text)
-            .map_err(|error| PlatformError::Malformed(error.to_string()))?;
-        Ok((status, body))
+        send_request(req, body).await
+    }
+}
+
+/// A value that may be of another type than expected, as entries are also written by others.
+struct MaybeDecoded<T>(Result<T, String>);
+
+impl<T> Default for MaybeDecoded<T> {
+    fn default() -> Self {
+        Self(Err("the object has no value".to_owned()))
+    }
+}
+
+impl<'de, T: DeserializeOwned> Deserialize<'de> for MaybeDecoded<T> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = Box::<RawValue>::deserialize(deserializer)?;
+        Ok(Self(serde_json::from_str(text.get()).map_err(|error| error.to_string())))
     }
 }
 
-fn decode_object<T: DeserializeOwned>(body: Value) -> Result<Object<T>, PlatformError> {
-    let wire: WireObject = from_value(body)?;
-    let version = wire.metadata.revision.to_string();
-    Ok(Object { name: wire.metadata.name, version, spec: from_value(wire.spec)? })
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|error| PlatformError::Malformed(error.to_string()))
 }
 
-fn decode_version(body: Value) -> Result<String, PlatformError> {
-    Ok(from_value::<WireObject>(body)?.metadata.revision.to_string())
+fn version(written: WireObject<IgnoredAny>) -> String {
+    written.metadata.revision.to_string()
 }
--- a/src/routing/members.rs
+++ b/src/routing/members.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use crate::names::{DataCentreName, InstanceName};
-use crate::routing::rank::rendezvous_weight;
+use crate::routing::rank::{rank, rendezvous_weight};
 
 /// Time for which an instance that did not answer, or had outdated state, is skipped.
 const SKIP_PERIOD: Duration = Duration::from_secs(4);
@@ -30,6 +30,9 @@
 /// and gets some 400 bytes if nothing changed, so this uses half of an instance's budget of 8 kB/s.
 const FAN_OUT: usize = 8;
 
+/// Rendezvous key of the tree.
+const TREE_KEY: u64 = 0;
+
 /// All registered instances.
 #[derive(Debug, Default)]
 pub struct Members {
@@ -71,6 +74,18 @@
         self.all.len()
     }
 
+    /// Returns the number of instances of a data centre that rank above `this_instance`, skipped or
+    /// not.
+    pub fn rank_in(&self, data_centre: &DataCentreName, this_instance: &InstanceName) -> usize {
+        let local = self.all.iter().filter(|(_, member)| member.data_centre == *data_centre);
+        rank(this_instance, local.map(|(name, _)| name), TREE_KEY)
+    }
+
+    /// Returns whether an instance is registered with the given data.
+    pub fn has(&self, name: &InstanceName, member: &Member) -> bool {
+        self.all.get(name) == Some(member)
+    }
+
     /// Skips an instance for a while, as it did not answer or had outdated state.
     pub fn skip(&mut self, now: Instant, name: &InstanceName) {
         self.skipped_until.insert(name.clone(), now + SKIP_PERIOD);
@@ -85,18 +100,18 @@
         this_instance: &InstanceName,
         data_centre: &DataCentreName,
     ) -> Option<(&InstanceName, &Member)> {
-        let own_weight = rendezvous_weight(this_instance.as_str(), 0);
+        let own_weight = rendezvous_weight(this_instance.as_str(), TREE_KEY);
         let local = self.all.iter().filter(|(_, member)| member.data_centre == *data_centre);
         let mut higher: Vec<_> = local
             .filter(|(name, _)| {
-                *name != this_instance && rendezvous_weight(name.as_str(), 0) > own_weight
+                *name != this_instance && rendezvous_weight(name.as_str(), TREE_KEY) > own_weight
             })
             .filter(|(name, _)| !self.is_skipped(now, name))
             .collect();
         // The rank of this instance is `higher.len()`. Ranks 1 to `FAN_OUT` pull from rank 0, the
         // next `FAN_OUT` from rank 1, and so on.
         let parent_rank = higher.len().checked_sub(1)? / FAN_OUT;
-        higher.sort_by_cached_key(|(name, _)| Reverse(rendezvous_weight(name.as_str(), 0)));
+        higher.sort_by_cached_key(|(name, _)| Reverse(rendezvous_weight(name.as_str(), TREE_KEY)));
         higher.into_iter().nth(parent_rank)
     }
 
--- a/src/routing/mirror.rs
+++ b/src/routing/mirror.rs
@@ -84,6 +84,19 @@
         true
     }
 
+    /// Returns whether a reader that is up to date with the revision `known` lacks any change.
+    pub fn has_changes_since(&self, known: Option<u64>) -> bool {
+        let Some(revision) = self.revision else { return false };
+        match known {
+            Some(known) if known >= revision => false,
+            Some(known) if known >= self.compacted_revision => {
+                self.items.values().any(|item| item.revision > known)
+                    || self.deleted_since(known).next().is_some()
+            }
+            _ => true,
+        }
+    }
+
     /// Returns the update for a reader that is up to date with the revision `known`; `None` if
     /// there is nothing new.
     pub fn changes_since(&self, known: Option<u64>) -> Option<Update> {
@@ -102,15 +115,17 @@
 
     fn incremental_update(&self, known: u64, revision: u64) -> Update {
         let changed = self.items.values().filter(|item| item.revision > known).cloned();
-        let deleted = self
-            .tombstones
-            .iter()
-            .filter(|(deleted_at, name)| *deleted_at > known && !self.items.contains_key(name));
-        let deleted = deleted.map(|(deleted_at, name)| Item {
+        let deleted = self.deleted_since(known).map(|(deleted_at, name)| Item {
             name: name.clone(),
             revision: *deleted_at,
             value: None,
         });
         Update { revision, is_snapshot: false, items: changed.chain(deleted).collect() }
     }
+
+    fn deleted_since(&self, known: u64) -> impl Iterator<Item = &(u64, String)> {
+        self.tombstones
+            .iter()
+            .filter(move |(deleted_at, name)| *deleted_at > known && !self.items.contains_key(name))
+    }
 }
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -6,6 +6,7 @@
 pub mod catalog;
 pub mod choose;
 pub mod cold;
+pub mod direct_reads;
 pub mod fleet;
 pub mod load;
 pub mod members;
--- a/src/routing/windows.rs
+++ b/src/routing/windows.rs
@@ -1,10 +1,11 @@
 //! Request counts per organisation and time window.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use crate::clock::BootTime;
-use crate::names::OrganisationName;
+use crate::names::{InstanceName, OrganisationName};
 
 /// Number of past windows that are retained.
 const RETAINED_WINDOWS: u64 = 6;
@@ -147,33 +148,53 @@
         total
     }
 
-    fn drop_windows_before(&mut self, oldest: u64) {
+    /// Drops all windows outside of a range.
+    pub fn retain_windows(&mut self, range: RangeInclusive<u64>) {
         for windows in self.processes.values_mut() {
-            windows.retain(|window, _| *window >= oldest);
+            windows.retain(|window, _| range.contains(window));
         }
         self.processes.retain(|_, windows| !windows.is_empty());
     }
+
+    fn drop_windows_before(&mut self, oldest: u64) {
+        self.retain_windows(oldest..=u64::MAX);
+    }
 }
 
 /// Counts that another process has acknowledged.
+///
+/// Counts are sent only to a peer whose last response was usable. In an outage of the store, when
+/// instances try one peer after another, each would otherwise get the counts of all the others.
 #[derive(Debug, Default)]
 pub struct SentTallies {
     process: String,
     tallies: Tallies,
+    usable_peer: Option<InstanceName>,
 }
 
 impl SentTallies {
-    /// Returns the known counts that the process has not acknowledged, including those that were
-    /// sent without an acknowledgement.
-    pub fn unsent(&self, known: &Tallies) -> Tallies {
-        known.newer_than(&self.tallies)
+    /// Returns the known counts that the peer has not acknowledged, including those that were sent
+    /// without an acknowledgement; none if its last response was not usable.
+    pub fn unsent(&self, peer: &InstanceName, known: &Tallies) -> Tallies {
+        if self.is_usable(peer) { known.newer_than(&self.tallies) } else { Tallies::default() }
+    }
+
+    /// Returns whether the last pull was answered by this peer with usable state.
+    pub fn is_usable(&self, peer: &InstanceName) -> bool {
+        self.usable_peer.as_ref() == Some(peer)
+    }
+
+    /// Records whether the response of a peer was usable.
+    pub fn record_response(&mut self, peer: &InstanceName, is_usable: bool) {
+        self.usable_peer = is_usable.then(|| peer.clone());
     }
 
     /// Records that a process acknowledged counts. If it is a different process than before, counts
     /// acknowledged by the previous one are discarded.
     pub fn record_acknowledged(&mut self, process: String, acknowledged: &Tallies) {
         if process != self.process {
-            *self = Self { process, ..Self::default() };
+            self.process = process;
+            self.tallies = Tallies::default();
         }
         self.tallies.merge(acknowledged);
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod logs;
 mod outage;
 mod serve;
+mod size;
 mod soak;
 mod support;
 mod trouble;
--- a/tests/gateway/serve.rs
+++ b/tests/gateway/serve.rs
@@ -224,6 +224,11 @@
         .ok();
     fx.instance.request("/lookup/1", "other").send().await.expect("there is a response");
 
+    // The instance lists itself and takes the lease only some time after its start.
+    wait_until("the instance holds the lease", || async {
+        fx.instance.metrics().await.contains("lease_epoch_held{name=\"duties\"} 1")
+    })
+    .await;
     let text = fx.instance.metrics().await;
 
     for line in [
--- a/tests/gateway/support/instance.rs
+++ b/tests/gateway/support/instance.rs
@@ -99,6 +99,13 @@
 impl Instance {
     /// Starts an instance and waits until it is ready.
     pub async fn start(cfg: InstanceSettings) -> Self {
+        let instance = Self::launch(cfg);
+        wait_until("the instance is ready", || instance.is_ready()).await;
+        instance
+    }
+
+    /// Starts an instance.
+    pub fn launch(cfg: InstanceSettings) -> Self {
         let addresses: [_; 4] = std::array::from_fn(|_| free_address().expect("a port is free"));
         let [caller_address, ready_address, peer_address, metrics_address] = addresses;
         let mut text = format!(
@@ -120,7 +127,7 @@
         std::fs::write(settings.path(), text).expect("the file can be written");
         let child = start_process(settings.path(), &cfg.log);
         let client = reqwest::Client::builder().no_proxy().build().expect("the client is built");
-        let instance = Self {
+        Self {
             child,
             settings,
             log: cfg.log,
@@ -129,9 +136,7 @@
             ready_address,
             metrics_address,
             client,
-        };
-        wait_until("the instance is ready", || instance.is_ready()).await;
-        instance
+        }
     }
 
     /// Starts the process again after it has exited.
--- a/tests/gateway/support/store.rs
+++ b/tests/gateway/support/store.rs
@@ -13,6 +13,11 @@
 
 use super::{Body, dropped_response, full, serve};
 
+/// Maximum number of objects in a page of a list.
+const MAX_PAGE_ITEMS: usize = 500;
+/// Size of the values in a page from which no further object is added.
+const MAX_PAGE_BYTES: usize = 1 << 20;
+
 #[derive(Default)]
 struct State {
     revision: u64,
@@ -27,6 +32,8 @@
     compacted: u64,
     /// Paths of the refused calls.
     refused: Vec<String>,
+    /// Methods and paths of all calls to the faulty address.
+    calls: Vec<String>,
 }
 
 /// The store; clones share their objects.
@@ -76,12 +83,18 @@
 
     fn refuses(&self, req: &Request<Incoming>) -> bool {
         let mut state = self.lock();
+        state.calls.push(format!("{} {}", req.method(), req.uri().path()));
         if state.is_unavailable {
             state.refused.push(req.uri().path().to_owned());
         }
         state.is_unavailable
     }
 
+    /// Returns the methods and paths of the calls to the faulty address.
+    pub fn calls(&self) -> Vec<String> {
+        self.lock().calls.clone()
+    }
+
     /// Returns the paths of the refused calls.
     pub fn refused(&self) -> Vec<String> {
         self.lock().refused.clone()
@@ -152,7 +165,7 @@
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         match (method, name) {
             (Method::GET, None) if query.contains("watch=") => self.watch(&kind, &query).await,
-            (Method::GET, None) => self.list(&kind),
+            (Method::GET, None) => self.list(&kind, query.strip_prefix("after=")),
             (Method::GET, Some(name)) => self.get(&kind, &name),
             (Method::POST, None) => self.create(&kind, &body),
             (Method::PUT, Some(name)) => self.replace(&kind, &name, &body),
@@ -164,12 +177,22 @@
         }
     }
 
-    fn list(&self, kind: &str) -> Response<Body> {
+    /// Responds with a page of the objects after a name.
+    fn list(&self, kind: &str, after: Option<&str>) -> Response<Body> {
         let state = self.lock();
-        let of_kind = state.objects.iter().filter(|((of, _), _)| of == kind);
-        let items: Vec<Value> =
-            of_kind.map(|((_, name), (revision, value))| object(name, *revision, value)).collect();
-        reply(&json!({ "items": items, "has-more": false, "at": state.revision }))
+        let mut of_kind = state.objects.iter().filter(|((of, name), _)| {
+            of == kind && after.is_none_or(|after| name.as_str() > after)
+        });
+        let (mut items, mut bytes) = (Vec::new(), 0);
+        for ((_, name), (revision, value)) in of_kind.by_ref() {
+            bytes += value.to_string().len();
+            items.push(object(name, *revision, value));
+            if items.len() >= MAX_PAGE_ITEMS || bytes >= MAX_PAGE_BYTES {
+                break;
+            }
+        }
+        let has_more = of_kind.next().is_some();
+        reply(&json!({ "items": items, "has-more": has_more, "at": state.revision }))
     }
 
     async fn watch(&self, kind: &str, query: &str) -> Response<Body> {
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -2,6 +2,7 @@
 
 mod catalog;
 mod choice;
+mod direct_reads;
 mod fleet;
 mod limits;
 mod peers;
--- a/tests/routing/usage.rs
+++ b/tests/routing/usage.rs
@@ -50,7 +50,9 @@
 impl Relay {
     /// Sends unacknowledged counts to the next process; the acknowledgement may be lost.
     fn send_to(&mut self, next: &mut Relay, is_acknowledged: bool) {
-        let unsent = self.sent.unsent(&self.known);
+        let peer = "peer".into();
+        self.sent.record_response(&peer, true);
+        let unsent = self.sent.unsent(&peer, &self.known);
         next.known.merge(&unsent);
         if is_acknowledged {
             self.sent.record_acknowledged(next.name.clone(), &unsent);
@@ -103,10 +105,29 @@
 
     first.known.increment("process", 7, &"aligners".into());
 
-    let unsent = first.sent.unsent(&first.known);
+    let unsent = first.sent.unsent(&"peer".into(), &first.known);
     assert_eq!(unsent.sum(7).into_iter().collect::<Vec<_>>(), [("aligners".into(), 1)]);
 }
 
+/// In an outage of the store, instances try one peer after another. If each got all counts that the
+/// instance knows, every instance would soon hold and publish the counts of the whole fleet.
+#[test]
+fn counts_are_not_sent_to_peers_without_current_state() {
+    let mut known = Tallies::default();
+    known.increment("process", 7, &"timers".into());
+    let mut sent = SentTallies::default();
+
+    for number in 0..3 {
+        let peer = format!("peer-{number}").into();
+        assert_eq!(sent.unsent(&peer, &known), Tallies::default());
+        sent.record_response(&peer, false);
+    }
+
+    let peer = "peer-3".into();
+    sent.record_response(&peer, true);
+    assert_eq!(sent.unsent(&peer, &known), known);
+}
+
 #[test]
 fn restarted_process_adds_to_its_earlier_counts() {
     let mut merged = Tallies::default();
