Replace on-demand servers step by step when there is no room for all spot servers

Cause: with 32 on-demand servers of at most 64, spot servers fill the other 32, fewer than the number after which on-demand servers are released, so that none ever was. So far this did not show because the first holder of the lease gave its orders before it knew any server, and then released at once.

Change: a part of the on-demand servers is released once the room beside them is used; a fleet that has seen no request yet doesn't wait; without the list of servers no order is given.

--- a/src/gateway/scaling.rs
+++ b/src/gateway/scaling.rs
@@ -36,6 +36,10 @@
             issued.clear();
             continue;
         }
+        // Without the list of backend servers, all of them would seem to be missing.
+        if !cx.can_route() {
+            continue;
+        }
         for (order, reissue_after) in required_orders(&cx) {
             let key = (order.service.clone(), order.data_centre.clone(), order.is_spot);
             let is_recent = issued
@@ -60,7 +64,7 @@
         for data_centre in scaling.prices.keys() {
             let data_centre = DataCentreName::from(&**data_centre);
             let counts = count_servers(cx, service, &data_centre);
-            let desired = desired_counts(&cfg.scaling, scaling, counts);
+            let desired = desired_counts(&cfg.scaling, scaling, counts, cx.has_traffic());
             let pairs =
                 [(true, counts.spot, desired.spot), (false, counts.on_demand, desired.on_demand)];
             for (is_spot, actual, count) in pairs {
--- a/src/routing/scaling.rs
+++ b/src/routing/scaling.rs
@@ -23,6 +23,9 @@
     }
 }
 
+/// Share of the maximum that is released at once.
+const MAX_RELEASED_SHARE: f64 = 0.25;
+
 /// Number of backend servers of one service in one data centre, not counting draining ones.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServerCounts {
@@ -37,20 +40,31 @@
 
 /// Returns the desired number of backend servers in one data centre.
 ///
-/// On-demand servers are released only once the spot servers serve requests. If spot servers are
-/// too expensive, the current counts are kept.
+/// On-demand servers are released only once the spot servers serve requests. If the maximum leaves no
+/// room for all of these beside the on-demand servers, a part of the latter is released once the room
+/// is used, so that the capacity never drops by much. A fleet without any traffic yet doesn't wait for them. If
+/// spot servers are too expensive, the current counts are kept.
 pub fn desired_counts(
     cfg: &ScalingSettings,
     scaling: &Scaling,
     current: ServerCounts,
+    has_traffic: bool,
 ) -> DesiredCounts {
     if scaling.spot_price_ratio > cfg.max_spot_price_ratio {
         return current;
     }
     let share_of_max = |share: f64| (f64::from(scaling.max) * share).ceil() as u32;
-    let on_demand =
+    let min_on_demand =
         share_of_max(cfg.on_demand_share).clamp(scaling.min.min(scaling.max), scaling.max);
-    let spot = share_of_max(cfg.spot_share).min(scaling.max - on_demand);
-    let on_demand = if current.spot >= spot { on_demand } else { current.on_demand.max(on_demand) };
-    DesiredCounts { on_demand, spot: spot.min(scaling.max.saturating_sub(on_demand)) }
+    let max_spot = share_of_max(cfg.spot_share).min(scaling.max - min_on_demand);
+    let room = max_spot.min(scaling.max.saturating_sub(current.on_demand));
+    let on_demand = if !has_traffic || current.spot >= max_spot {
+        min_on_demand
+    } else if current.spot >= room {
+        let released = share_of_max(MAX_RELEASED_SHARE);
+        current.on_demand.saturating_sub(released).max(min_on_demand)
+    } else {
+        current.on_demand.max(min_on_demand)
+    };
+    DesiredCounts { on_demand, spot: max_spot.min(scaling.max.saturating_sub(on_demand)) }
 }
