Check the key and the server again once the connection is open

Cause, from reading: a send checks the key, then opens a connection for up to 0.4 s, more than the margin of 0.3 s after which a withdrawn key must not arrive; a pause of the process in between adds to it. The count of open connections rose only when the connection's task ran, so that a shutdown could end just before.

Change: the key and whether the server takes work are checked once the connection is open; the count rises when the connection is accepted.

Not shown: gateway::paused passes without the change as well, since the connection that opens during the pause of the test counts as timed out. It stays as a check of the whole case.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, Uri};
 
+use super::handle::recheck_key;
 use super::links::{Connection, ConnectionError};
 use super::shared::InstanceState;
 use crate::names::{BackendServerName, OrganisationName};
@@ -197,6 +198,13 @@
     if left.is_zero() {
         return SendOutcome::NotSent("the deadline has passed".to_owned());
     }
+    // Opening the connection takes time, and the process may have been paused meanwhile.
+    if recheck_key(cx, request).is_err() {
+        return SendOutcome::NotSent("the key can't be verified any more".to_owned());
+    }
+    if !cx.fleet.borrow().is_usable(name) {
+        return SendOutcome::NotSent("the backend server takes no more work".to_owned());
+    }
     let run = start_run(cx, request, choice, server.entry.address);
     cx.record_send(&request.service, server);
     let head = SendHead {
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -27,6 +27,8 @@
 pub async fn accept(cx: Rc<InstanceState>, listener: TcpListener) {
     loop {
         let socket = listen::accept(&listener, "callers").await;
+        // Counted before the task runs, so that a shutdown doesn't miss it.
+        cx.open_connections.set(cx.open_connections.get() + 1);
         tokio::task::spawn_local(serve(cx.clone(), socket));
     }
 }
@@ -37,7 +39,6 @@
         tracing::debug!(%error, "setting TCP_NODELAY failed");
     }
     let limits = cx.catalog().limits;
-    cx.open_connections.set(cx.open_connections.get() + 1);
     let service = service_fn(|req| respond(cx.clone(), req));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod drain;
 mod logs;
 mod outage;
+mod paused;
 mod serve;
 mod size;
 mod soak;
