Take the duty lease soon after the start; notice the store's recovery within a second

Change: an instance that starts checks every 0.2 s whether it is listed, and then polls at once if it is a candidate. The first readers of a data centre wait 1 s instead of 2 s at most between failed calls.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -5,6 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 use rand::RngExt;
 
@@ -27,6 +28,8 @@
 const POLLS_PER_TERM: u32 = 2;
 /// Maximum number of calls per poll round, so that a write can follow a read.
 const MAX_CALLS_PER_ROUND: usize = 3;
+/// Period at which an instance that starts checks whether it is listed.
+const LISTED_CHECK_PERIOD: Duration = Duration::from_millis(200);
 /// Minimum number of polls that an instance skips if it is not a candidate. In a larger fleet it is
 /// the number of instances, so that calls don't grow with the fleet.
 const MIN_SKIPPED_POLLS: usize = 8;
@@ -66,23 +69,20 @@
     let this_holder = Holder { instance: cfg.instance.clone(), incarnation: rand::random() };
     *duty_lease.instance.borrow_mut() = Some(cfg.instance.clone());
     let mut machine = LeaseStateMachine::new(this_holder, settings);
-    // Random, so that instances that started together don't poll together.
-    let mut polls_to_skip = None;
     let mut draining = cx.draining.subscribe();
+    while !is_listed(&cx, &cfg.instance) && !cx.is_draining() {
+        tokio::time::sleep(LISTED_CHECK_PERIOD).await;
+    }
+    // Random, so that instances that started together don't poll together.
+    let mut polls_to_skip =
+        rand::rng().random_range(1..=cx.instance_count().max(MIN_SKIPPED_POLLS));
     while !cx.is_draining() {
         let is_held = machine.held(BootTime::now()).is_some();
-        if is_held || polls_to_skip == Some(0) || is_candidate(&cx, &cfg.instance) {
+        if is_held || polls_to_skip == 0 || is_candidate(&cx, &cfg.instance) {
             run_poll_round(&cx, &store, &mut machine, &duty_lease).await;
-            polls_to_skip = Some(cx.instance_count().max(MIN_SKIPPED_POLLS));
+            polls_to_skip = cx.instance_count().max(MIN_SKIPPED_POLLS);
         }
-        polls_to_skip = match polls_to_skip {
-            Some(polls) => Some(polls - 1),
-            // The other instances are known only some time after the start.
-            None if cx.has_received(Collection::Instances) => {
-                Some(rand::rng().random_range(1..=cx.instance_count().max(MIN_SKIPPED_POLLS)))
-            }
-            None => None,
-        };
+        polls_to_skip -= 1;
         let rounds_per_term = if is_held { RENEWALS_PER_TERM } else { POLLS_PER_TERM };
         let delay = (settings.term / rounds_per_term).mul_f64(rand::rng().random_range(0.8..1.0));
         tokio::select! {
@@ -101,9 +101,12 @@
 ///
 /// An instance that is not in its own list is none, as its view of the others may be incomplete.
 fn is_candidate(cx: &InstanceState, this_instance: &InstanceName) -> bool {
-    let members = cx.members.borrow();
-    let is_listed = members.names().any(|name| name == this_instance);
-    is_listed && rank(this_instance, members.names(), 0) < MAX_CANDIDATES
+    is_listed(cx, this_instance)
+        && rank(this_instance, cx.members.borrow().names(), 0) < MAX_CANDIDATES
+}
+
+fn is_listed(cx: &InstanceState, this_instance: &InstanceName) -> bool {
+    cx.members.borrow().names().any(|name| name == this_instance)
 }
 
 async fn run_poll_round(
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -41,9 +41,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 /// The same for the other instances, which learn of the store's recovery from the first readers.
 const LATER_READER_RETRY_DELAY: Duration = Duration::from_millis(1_000);
-/// Maximum delay after a failed call; about half of the maximum time for the rest of the
-/// fleet to notice that the store has recovered.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(2_000);
+/// Maximum delay of the other instances.
+const LATER_READER_MAX_RETRY_DELAY: Duration = Duration::from_millis(2_000);
+/// Maximum delay after a failed call of one of the first readers: a part of the time after a recovery
+/// within which the counts of all instances must arrive.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
 /// Starts a watcher task for each collection.
 pub fn start(cx: &Rc<InstanceState>, store: &Store) {
@@ -169,9 +171,13 @@
     fn retry_delay(&self) -> Duration {
         let cfg = self.cx.cfg();
         let rank = self.cx.members.borrow().rank_in(&cfg.data_centre, &cfg.instance);
-        let first = if is_first_reader(rank) { RETRY_DELAY } else { LATER_READER_RETRY_DELAY };
+        let (first, max) = if is_first_reader(rank) {
+            (RETRY_DELAY, MAX_RETRY_DELAY)
+        } else {
+            (LATER_READER_RETRY_DELAY, LATER_READER_MAX_RETRY_DELAY)
+        };
         let doubled = first.saturating_mul(1 << self.failures.saturating_sub(1).min(8));
-        doubled.min(MAX_RETRY_DELAY).mul_f64(rand::rng().random_range(0.5..1.0))
+        doubled.min(max).mul_f64(rand::rng().random_range(0.5..1.0))
     }
 
     fn record_result(&mut self, error: Option<&PlatformError>) {
