Quarantine prompt parts that crash backend servers

Cause: a failed send was evidence against the server only. Nothing related failures to what the requests had in common, so each repeat, and each next request with the part, took another server. The class of fault is the query of death: a fault of the input that is handled as one of the server.

Ruled out: retries alone (without any, each request would still cost a server), and counting per instance (each sees one or two of the crashes).

Change: a connection that ends before the first event is followed by an attempt to connect; if that is refused, the server has crashed, and the shared parts of the prompt are under suspicion. A part that a server answers is cleared. Three crashes one after another without an answer convict it. Instances push such reports to each other without the store (src/gateway/evidence.rs), decide by themselves (src/routing/quarantine.rs), and refuse requests with a convicted part as not run. A sound request shows which of several parts that were convicted together is to blame; a trial by one instance, ever less often, shows whether the part has become sound.

Tests: both tests of tests/gateway/quarantine.rs failed before (40 arrivals of the deadly part, and 502 instead of 503 after a restart).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -11,6 +11,7 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response, Uri};
 
+use super::evidence;
 use super::handle::recheck_key;
 use super::links::{Connection, ConnectionError};
 use super::shared::InstanceState;
@@ -21,6 +22,7 @@
 use crate::routing::choose::Choice;
 use crate::routing::fleet::Server;
 use crate::routing::load::Verdict;
+use crate::routing::quarantine::ServerProcess;
 use crate::routing::tried::SendResult;
 
 /// Maximum idle time of a pooled connection that is reused for a non-retryable request.
@@ -115,6 +117,9 @@
     request: Rc<AdmittedRequest>,
     connection: Option<Connection>,
     prefill_tokens: Cell<u64>,
+    /// Whether the answer has begun.
+    is_answered: Cell<bool>,
+    process: ServerProcess,
     /// Backend server that executes the request.
     pub server: BackendServerName,
     /// Address that the request was sent to.
@@ -132,8 +137,19 @@
         }
     }
 
+    /// Records that a part of the answer was received, which shows that the prompt doesn't crash
+    /// the backend server.
+    pub fn mark_answered(&self) {
+        if !self.is_answered.replace(true) {
+            self.cx.evidence.record_answer(&self.request);
+        }
+    }
+
     /// Ends the run after the complete response was read and returns the connection to the pool.
     pub fn finish(mut self, verdict: Verdict) {
+        if verdict == Verdict::Success {
+            self.mark_answered();
+        }
         self.cx.record_verdict(&self.request.service, &self.server, verdict);
         if let Some(connection) = self.connection.take() {
             self.cx.release_connection(&self.request.service, &self.server, connection);
@@ -146,11 +162,20 @@
         self.finish(Verdict::Failed);
     }
 
-    /// Ends the run after its connection failed or timed out.
+    /// Ends the run after its response timed out or was malformed.
     pub fn fail(self) {
         self.cx.record_verdict(&self.request.service, &self.server, Verdict::TransportFailure);
     }
 
+    /// Ends the run after its connection ended, and finds out whether the backend server crashed
+    /// before it answered.
+    pub async fn fail_disconnected(self) {
+        self.cx.record_verdict(&self.request.service, &self.server, Verdict::TransportFailure);
+        if !self.is_answered.get() {
+            evidence::record_if_crashed(&self.cx, &self.request, &self.process, self.address).await;
+        }
+    }
+
     fn end_prefill(&self) {
         let prefill_tokens = self.prefill_tokens.take();
         self.cx.loads.borrow_mut().get_or_insert(&self.server).finish_prefill(prefill_tokens);
@@ -205,7 +230,7 @@
     if !cx.fleet.borrow().is_usable(name) {
         return SendOutcome::NotSent("the backend server takes no more work".to_owned());
     }
-    let run = start_run(cx, request, choice, server.entry.address);
+    let run = start_run(cx, request, choice, server);
     cx.record_send(&request.service, server);
     let head = SendHead {
         server: name,
@@ -225,7 +250,7 @@
             SendOutcome::NotSent(why)
         }
         Ok(Err(ConnectionError::NoResponse(why))) => {
-            run.fail();
+            run.fail_disconnected().await;
             SendOutcome::Unknown(why)
         }
         Err(_) => {
@@ -239,7 +264,7 @@
     cx: &Rc<InstanceState>,
     request: &Rc<AdmittedRequest>,
     choice: &Choice,
-    address: SocketAddr,
+    server: &Server,
 ) -> Run {
     let parts = request.head.demand.shared_prefix().iter().map(|part| part.id);
     cx.loads.borrow_mut().get_or_insert(&choice.server).start_request(
@@ -252,8 +277,10 @@
         request: request.clone(),
         connection: None,
         prefill_tokens: Cell::new(choice.prefill_tokens),
+        is_answered: Cell::new(false),
+        process: ServerProcess::of(&server.entry.name, server.entry.started_at_ms),
         server: choice.server.clone(),
-        address,
+        address: server.entry.address,
     }
 }
 
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -33,6 +33,9 @@
     metrics.set_gauge("store_away", INSTANCE_LABEL, u64::from(cx.is_store_unavailable()));
     metrics.set_gauge("open_connections", INSTANCE_LABEL, cx.open_connections.get() as u64);
     metrics.set_gauge("log_lines_dropped", INSTANCE_LABEL, dropped_lines());
+    let (suspected, quarantined) = cx.evidence.counts();
+    metrics.set_gauge("prompt_parts_suspected", INSTANCE_LABEL, suspected as u64);
+    metrics.set_gauge("prompt_parts_quarantined", INSTANCE_LABEL, quarantined as u64);
     for (service, counts) in count_servers(cx) {
         metrics.set_gauge("servers_usable", service.as_str(), counts.usable);
         metrics.set_gauge("servers_cold", service.as_str(), counts.cold);
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -10,6 +10,7 @@
 
 use super::attempt::{AdmittedRequest, BackendResponse, ResumePoint, SendOutcome, send};
 use super::body::{Refusal, ResponseBody, full_body};
+use super::evidence::PartsCheck;
 use super::record::RequestRecord;
 use super::relay;
 use super::shared::InstanceState;
@@ -173,6 +174,17 @@
             let why = "the key was withdrawn or can't be verified any more";
             return Err(attempts.final_refusal(request, record, why, refusal));
         }
+        let parts = cx.evidence.check(cx, request);
+        if let PartsCheck::Refused(retry_after) = parts {
+            cx.metrics.add(Counter::Quarantined, request.route.name.as_str(), 1);
+            let refusal = Refusal::NotRun { retry_after_s: retry_after.as_secs_f64() };
+            let why = "a part of the prompt crashes backend servers";
+            return Err(attempts.final_refusal(request, record, why, refusal));
+        }
+        if parts == PartsCheck::NoRetry && attempts.may_have_run {
+            let why = "a part of the prompt may have crashed the backend server";
+            return Err(attempts.final_refusal(request, record, why, REFUSED_NOT_RUN));
+        }
         let demand = &request.head.demand;
         let Some((choice, server)) = cx.choose(&request.service, demand, &attempts.history) else {
             let why = "no backend server is available";
@@ -311,7 +323,7 @@
     let bytes = match read {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(why)) => {
-            run.fail();
+            run.fail_disconnected().await;
             return Err(why);
         }
         Err(_) => {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 pub mod body;
 pub mod duty;
 pub mod events;
+pub mod evidence;
 pub mod gauges;
 pub mod handle;
 pub mod ingress;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -217,7 +217,7 @@
 }
 
 /// Returns a random seed peer from the settings, for use while no other instance is known.
-fn random_seed_peer(
+pub(super) fn random_seed_peer(
     cx: &InstanceState,
     data_centre: &DataCentreName,
 ) -> Option<(InstanceName, Member)> {
--- a/src/gateway/pulls.rs
+++ b/src/gateway/pulls.rs
@@ -21,6 +21,7 @@
 use tokio::sync::Semaphore;
 
 use super::body::{ResponseBody, full_body};
+use super::evidence::{self, EVIDENCE_PATH};
 use super::listen;
 use super::peers::{PullHead, PullRequest};
 use super::shared::InstanceState;
@@ -89,6 +90,10 @@
     }
 
     async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
+        if req.uri().path() == EVIDENCE_PATH {
+            let answered = evidence::respond(&self.cx, req).await;
+            return answered.unwrap_or_else(|why| error_response(StatusCode::BAD_REQUEST, why));
+        }
         let Ok(_permit) = self.requests.try_acquire() else {
             let why = format!("more than {MAX_REQUESTS} pull requests at once");
             return error_response(StatusCode::SERVICE_UNAVAILABLE, why);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -149,7 +149,7 @@
                 Ok(Bytes::new())
             }
             Ok(Err(ReadEnd::Failed(why))) => {
-                self.fail();
+                self.fail_disconnected().await;
                 Err(why)
             }
             Err(_) => {
@@ -196,7 +196,10 @@
                     self.finish();
                     return self.splitter.take_remainder().map(Ok);
                 }
-                Some(Err(ReadEnd::Failed(why))) => why,
+                Some(Err(ReadEnd::Failed(why))) => {
+                    self.fail_disconnected().await;
+                    why
+                }
                 None if Instant::now() < self.stalled_at(waiting_since) => continue,
                 None => {
                     let waited_ms = waiting_since.elapsed().as_millis();
@@ -360,9 +363,10 @@
 
     /// Reads until there is at least one complete event.
     async fn read(&mut self) -> Result<Bytes, ReadEnd> {
-        let Some((body, _)) = &mut self.current_run else { return Err(ReadEnd::Complete) };
+        let Some((body, run)) = &mut self.current_run else { return Err(ReadEnd::Complete) };
         loop {
             if let Some(events) = self.splitter.take_complete() {
+                run.mark_answered();
                 self.last_event = events.last_id.or(self.last_event);
                 return Ok(events.bytes);
             }
@@ -397,6 +401,13 @@
         }
     }
 
+    async fn fail_disconnected(&mut self) {
+        if let Some((body, run)) = self.current_run.take() {
+            drop(body);
+            run.fail_disconnected().await;
+        }
+    }
+
     fn may_resume(&self) -> bool {
         self.request.route.request_kind == RequestKind::ResumableStream
             && self.history.attempts() < self.request.route.max_attempts
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,7 +12,7 @@
 use super::ingress::{self, ACCEPT_GRACE};
 use super::settings::GatewaySettings;
 use super::shared::{InstanceState, ShutdownTimes};
-use super::{peers, pulls, roster, scaling, status, sync, usage};
+use super::{evidence, peers, pulls, roster, scaling, status, sync, usage};
 use crate::clock::{BootTime, wall_millis};
 use crate::platform::duties::DutyClient;
 use crate::platform::settings::parse;
@@ -59,6 +59,7 @@
     tokio::task::spawn_local(pulls::serve(cx.clone(), peer_listener));
     let client = http::peer_client()?;
     tokio::task::spawn_local(peers::sync_from_peers(cx.clone(), client.clone()));
+    tokio::task::spawn_local(evidence::exchange(cx.clone(), client.clone(), timer.clone()));
     let duty_lease = Rc::new(DutyLease::default());
     let lease_task =
         tokio::task::spawn_local(duty::maintain(cx.clone(), store.clone(), duty_lease.clone()));
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::watch;
 
+use super::evidence::SharedEvidence;
 use super::links::{Connection, ConnectionPool, max_idle_per_instance};
 use super::settings::GatewaySettings;
 use crate::clock::{BootTime, wall_millis};
@@ -77,6 +78,8 @@
     pub reads_store: watch::Sender<bool>,
     /// Idle connections to backend servers.
     pub pool: ConnectionPool,
+    /// Evidence against prompt parts that crash backend servers.
+    pub evidence: SharedEvidence,
     /// Counts of executed requests for usage reports.
     pub tallies: RefCell<Tallies>,
     /// Name under which this process counts requests; unique across restarts.
@@ -118,6 +121,7 @@
             proof: RefCell::default(),
             loads: RefCell::default(),
             pool: ConnectionPool::default(),
+            evidence: SharedEvidence::default(),
             tallies: RefCell::default(),
             clock: RefCell::new(StepFilteredClock::new(wall_millis(), BootTime::now())),
             metrics: Metrics::default(),
@@ -367,6 +371,7 @@
 
     /// Drops the state of backend servers that no longer exist.
     pub fn sweep(&self) {
+        self.evidence.sweep();
         self.fleet.borrow_mut().purge_lapsed(Instant::now());
         let fleet = self.fleet.borrow();
         self.pool.close_expired(|name| fleet.get(name).is_some());
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -29,6 +29,8 @@
     Refused,
     /// Requests that were sent again to another backend server, by reason.
     Retried,
+    /// Requests refused because a part of their prompt crashes backend servers, by class.
+    Quarantined,
     /// Calls to the platform, by kind.
     PlatformCalls,
     /// Calls to the platform that failed, by kind.
@@ -61,6 +63,7 @@
             Self::WastedTokens => ("wasted_tokens_total", "reason"),
             Self::Refused => ("refused_requests_total", "code"),
             Self::Retried => ("retried_requests_total", "reason"),
+            Self::Quarantined => ("quarantined_requests_total", "class"),
             Self::PlatformCalls => ("platform_calls_total", "kind"),
             Self::PlatformFailures => ("platform_failures_total", "kind"),
             Self::UsageWindows => ("usage_windows_total", "outcome"),
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -13,6 +13,7 @@
 pub mod mirror;
 pub mod mix;
 pub mod proof;
+pub mod quarantine;
 pub mod rank;
 pub mod scaling;
 pub mod tried;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod logs;
 mod outage;
 mod paused;
+mod quarantine;
 mod serve;
 mod size;
 mod soak;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and fixtures for the gateway tests.
 
+pub mod crashing;
 pub mod instance;
 pub mod raw;
 pub mod runner;
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod limits;
 mod peers;
+mod quarantine;
 mod scaling;
 mod support;
 mod tried;
