Treat a stream that ends inside an event as broken off

Callers saw: a response whose body has neither a length nor chunks ends with its connection. If the server closed it in order inside an event, or before the first one, callers got a part of an event, or nothing, as a complete stream, and a resumable stream was not continued.

Cause: the end of the body counted as the end of the stream, and what was left in the buffer was sent as its last bytes. The framing tells a broken body from a complete one only if there is a length or chunks.

Change: a stream that ends inside an event, or without a length or chunks before its first event, has failed. Lines may end with CRLF; before, such a stream was held back to its end, and is now relayed event by event.

Tests: the four cases of *broken_off_with_its_connection* and the CRLF case of stream_that_ends_with_its_connection_after_an_event_is_complete failed before.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -5,6 +5,9 @@
 /// Maximum size of an event, which is buffered until it is complete.
 pub const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// Empty lines, which end an event, after the end of its last line.
+const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+
 /// Complete events and the ID of the last one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EventBatch {
@@ -47,7 +50,12 @@
         self.buf.len() > MAX_EVENT_BYTES && end_of_last_event(&self.buf).is_none()
     }
 
-    /// Takes the remaining bytes at the end of a stream.
+    /// Returns whether the buffer holds a part of an event.
+    pub fn has_incomplete_event(&self) -> bool {
+        self.buf.iter().any(|byte| !b"\r\n".contains(byte))
+    }
+
+    /// Takes the empty lines at the end of a stream.
     pub fn take_remainder(&mut self) -> Option<Bytes> {
         (!self.buf.is_empty()).then(|| self.buf.split().freeze())
     }
@@ -72,11 +80,15 @@
 }
 
 fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(2).rposition(|pair| pair == b"\n\n").map(|at| at + 2)
+    let last = |end: &[u8]| bytes.windows(end.len()).rposition(|found| found == end);
+    let ends = EVENT_ENDS.iter().filter_map(|end| Some(last(end)? + end.len()));
+    ends.max()
 }
 
 fn end_of_first_event(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2)
+    let first = |end: &[u8]| bytes.windows(end.len()).position(|found| found == end);
+    let ends = EVENT_ENDS.iter().filter_map(|end| Some(first(end)? + end.len()));
+    ends.min()
 }
 
 /// Returns the last `id` field of complete events.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -56,6 +56,8 @@
     record: Rc<RequestRecord>,
     /// Current run and its unread body; `None` between runs and after the end.
     current_run: Option<(Incoming, Run)>,
+    /// Whether the body of the first run has neither a length nor chunks.
+    ends_with_connection: bool,
     splitter: EventSplitter,
     last_event: Option<u64>,
     history: SendHistory,
@@ -91,6 +93,7 @@
 ) -> Result<Response<ResponseBody>, String> {
     let BackendResponse { rsp, run } = reply;
     let (mut parts, body) = rsp.into_parts();
+    let ends_with_connection = headers::ends_with_connection(&parts.headers);
     headers::remove_hop_by_hop(&mut parts.headers);
     if request.route.request_kind == RequestKind::ResumableStream {
         // The length of the resumed stream may differ.
@@ -101,6 +104,7 @@
         request: request.clone(),
         record: record.clone(),
         current_run: Some((body, run)),
+        ends_with_connection,
         splitter: EventSplitter::after(request.head.last_event),
         last_event: request.head.last_event,
         history,
@@ -143,6 +147,10 @@
                 }
                 Ok(bytes)
             }
+            Ok(Err(ReadEnd::Complete)) if self.ends_with_connection => {
+                self.fail_disconnected().await;
+                Err("the connection ended before the first event".to_owned())
+            }
             Ok(Err(ReadEnd::Complete)) => {
                 // An empty stream is a complete response.
                 self.finish();
@@ -381,6 +389,9 @@
                     }
                 }
                 Some(Err(error)) => return Err(ReadEnd::Failed(error.to_string())),
+                None if self.splitter.has_incomplete_event() => {
+                    return Err(ReadEnd::Failed("the stream ended inside an event".to_owned()));
+                }
                 None => return Err(ReadEnd::Complete),
             }
         }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -197,6 +197,11 @@
     }
 }
 
+/// Returns whether a response body ends with its connection, as it has neither a length nor chunks.
+pub fn ends_with_connection(headers: &HeaderMap) -> bool {
+    !headers.contains_key("content-length") && !headers.contains_key("transfer-encoding")
+}
+
 /// Classifies a backend server's response to an attempt.
 pub fn classify_response<B>(rsp: &Response<B>, attempt: Option<&HeaderValue>) -> ResponseKind {
     let headers = rsp.headers();
--- a/tests/gateway/trouble.rs
+++ b/tests/gateway/trouble.rs
@@ -324,3 +324,74 @@
         assert!(status == 200 || status == 502, "{attempt} received {status}");
     }
 }
+
+/// Starts a server whose streams have neither a length nor chunks and end with the connection, in
+/// order, after the given events.
+async fn server_closing_after(events: fn(&str) -> String) -> RawServer {
+    RawServer::start(move |mut connection: RawConnection| async move {
+        let Some(attempt) = connection.read_request().await else { return };
+        let text = format!("{}{}", stream_head(&attempt), events(&attempt));
+        connection.write(text.as_bytes()).await;
+    })
+    .await
+}
+
+fn events_and_a_part(attempt: &str) -> String {
+    format!("{}{}id: 3\ndata: ha", event(attempt, 1), event(attempt, 2))
+}
+
+fn no_events(_: &str) -> String {
+    String::new()
+}
+
+fn crlf_stream(attempt: &str) -> String {
+    full_stream(attempt).replace('\n', "\r\n")
+}
+
+#[rstest]
+#[case::lf(full_stream)]
+#[case::crlf(crlf_stream)]
+#[tokio::test]
+async fn stream_that_ends_with_its_connection_after_an_event_is_complete(
+    #[case] events: fn(&str) -> String,
+) {
+    let fx = fixture(server_closing_after(events).await).await;
+
+    let answers = send_at_once(&fx.instance, "/stream/1", Duration::from_secs(3), 1).await;
+
+    assert_eq!(answers[0].1.as_ref().ok(), Some(&events(ATTEMPT_ID)));
+}
+
+/// Guards against a stream that a server broke off and that looks complete to the caller.
+#[rstest]
+#[case::inside_an_event(events_and_a_part)]
+#[case::before_the_first_event(no_events)]
+#[tokio::test]
+async fn stream_that_is_broken_off_with_its_connection_does_not_look_complete(
+    #[case] events: fn(&str) -> String,
+) {
+    let fx = fixture(server_closing_after(events).await).await;
+
+    let answers = send_at_once(&fx.instance, "/stream/1", Duration::from_secs(3), 1).await;
+
+    let (status, body) = &answers[0];
+    assert!(*status != 200 || body.is_err(), "the stream looks complete: {status}, {body:?}");
+}
+
+/// Guards against a resumable stream that a server broke off and that is not continued.
+#[rstest]
+#[case::inside_an_event(events_and_a_part)]
+#[case::before_the_first_event(no_events)]
+#[tokio::test]
+async fn resumable_stream_that_is_broken_off_with_its_connection_is_continued(
+    #[case] events: fn(&str) -> String,
+) {
+    let fx = fixture(server_closing_after(events).await).await;
+    let _sound = fx.add_sound_server().await;
+
+    let answers = send_at_once(&fx.instance, "/job/1", Duration::from_secs(5), 6).await;
+
+    for (status, body) in answers {
+        assert_eq!((status, body.ok()), (200, Some(full_stream(ATTEMPT_ID))));
+    }
+}
