Heed servers that say that they leave or want no requests

Callers saw: a server that was about to leave said so only in its responses (`Server-Leaving: 1`), and got requests until its registry entry changed, some of them too late. A full server that named a time in `Retry-After` was asked again at once.

Cause: the two header fields were not read. A server's state was known from the registry alone.

Change: routing/notices.rs keeps what the process of a server has said about itself, by its name and start, so that it outlasts a new list of the servers and ends with the process. A leaving server counts as draining, its streams included. A pausing server is not chosen and not sent to, and if all servers of a service pause, the caller gets the shortest of their times as `Retry-After`. Both hold for this instance only, as the other instances get their own responses.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -22,6 +22,7 @@
 use crate::routing::choose::Choice;
 use crate::routing::fleet::Server;
 use crate::routing::load::Verdict;
+use crate::routing::notices::Notice;
 use crate::routing::quarantine::ServerProcess;
 use crate::routing::tried::SendResult;
 
@@ -119,7 +120,8 @@
     prefill_tokens: Cell<u64>,
     /// Whether the answer has begun.
     is_answered: Cell<bool>,
-    process: ServerProcess,
+    /// Start of the process that the request was sent to, as registered.
+    started_at_ms: Option<u64>,
     /// Backend server that executes the request.
     pub server: BackendServerName,
     /// Address that the request was sent to.
@@ -172,7 +174,22 @@
     pub async fn fail_disconnected(self) {
         self.cx.record_verdict(&self.request.service, &self.server, Verdict::TransportFailure);
         if !self.is_answered.get() {
-            evidence::record_if_crashed(&self.cx, &self.request, &self.process, self.address).await;
+            let process = ServerProcess::of(&self.server, self.started_at_ms);
+            evidence::record_if_crashed(&self.cx, &self.request, &process, self.address).await;
+        }
+    }
+
+    /// Records what the backend server says about itself in its response.
+    fn record_notice(&self, notice: Notice) {
+        let now = Instant::now();
+        let mut fleet = self.cx.fleet.borrow_mut();
+        if fleet.record_notice(now, &self.server, self.started_at_ms, notice) {
+            tracing::info!(server = %self.server, "backend server says that it leaves");
+            self.cx.pool.close_idle(&self.server);
+        }
+        if let Some(pause) = notice.pause {
+            let pause_ms = pause.as_millis() as u64;
+            tracing::info!(server = %self.server, pause_ms, "backend server wants no requests");
         }
     }
 
@@ -227,7 +244,7 @@
     if recheck_key(cx, request).is_err() {
         return SendOutcome::NotSent("the key can't be verified any more".to_owned());
     }
-    if !cx.fleet.borrow().is_usable(name) {
+    if !cx.takes_requests(&server.entry) {
         return SendOutcome::NotSent("the backend server takes no more work".to_owned());
     }
     let run = start_run(cx, request, choice, server);
@@ -278,7 +295,7 @@
         connection: None,
         prefill_tokens: Cell::new(choice.prefill_tokens),
         is_answered: Cell::new(false),
-        process: ServerProcess::of(&server.entry.name, server.entry.started_at_ms),
+        started_at_ms: server.entry.started_at_ms,
         server: choice.server.clone(),
         address: server.entry.address,
     }
@@ -303,7 +320,11 @@
     if let Some(load) = headers::parse_reported_load(rsp.headers()) {
         cx.loads.borrow_mut().get_or_insert(&run.server).record_report(Instant::now(), load);
     }
-    match headers::classify_response(&rsp, request.head.attempt.as_ref()) {
+    let kind = headers::classify_response(&rsp, request.head.attempt.as_ref());
+    if !matches!(kind, ResponseKind::Misdirected | ResponseKind::Invalid) {
+        run.record_notice(headers::parse_notice(&rsp));
+    }
+    match kind {
         ResponseKind::Valid => {
             run.connection = Some(connection);
             SendOutcome::Response(Box::new(BackendResponse { rsp, run }))
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -18,6 +18,7 @@
     cold: u64,
     ejected: u64,
     draining: u64,
+    paused: u64,
 }
 
 /// Updates all gauges.
@@ -40,6 +41,7 @@
         metrics.set_gauge("servers_usable", service.as_str(), counts.usable);
         metrics.set_gauge("servers_cold", service.as_str(), counts.cold);
         metrics.set_gauge("servers_left_out", service.as_str(), counts.ejected);
+        metrics.set_gauge("servers_paused", service.as_str(), counts.paused);
         metrics.set_gauge("servers_leaving", service.as_str(), counts.draining);
     }
     for (service, left) in cx.retries_left() {
@@ -57,6 +59,7 @@
         counts.usable += u64::from(fleet.is_usable(name));
         counts.cold += u64::from(server.is_cold(now));
         counts.ejected += u64::from(loads.get(name).is_some_and(|load| load.is_ejected(now)));
+        counts.paused += u64::from(fleet.pause_left(now, &server.entry).is_some());
         counts.draining += u64::from(fleet.draining_since(name).is_some());
     }
     by_service
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -188,7 +188,10 @@
         let demand = &request.head.demand;
         let Some((choice, server)) = cx.choose(&request.service, demand, &attempts.history) else {
             let why = "no backend server is available";
-            return Err(attempts.final_refusal(request, record, why, REFUSED_NOT_RUN));
+            let pause = cx.fleet.borrow().shortest_pause(Instant::now(), &request.service.name);
+            let pause_s = pause.map_or(RETRY_AFTER_NOT_RUN_S, |pause| pause.as_secs_f64());
+            let refusal = Refusal::NotRun { retry_after_s: pause_s.max(RETRY_AFTER_NOT_RUN_S) };
+            return Err(attempts.final_refusal(request, record, why, refusal));
         };
         if attempts.history.needs_retry_budget() && !cx.take_retry(&request.service.name) {
             let why = "the retry budget is exhausted";
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -18,7 +18,7 @@
 use crate::routing::catalog::{Catalog, Service, ServiceName};
 use crate::routing::choose::{Choice, ChoiceSettings, Demand, choose};
 use crate::routing::cold::{ColdRateLimiter, may_send_to_cold};
-use crate::routing::fleet::{Fleet, Server};
+use crate::routing::fleet::{Fleet, Registration, Server};
 use crate::routing::load::{Loads, Verdict};
 use crate::routing::members::Members;
 use crate::routing::mirror::Mirror;
@@ -286,6 +286,7 @@
         let fleet = self.fleet.borrow();
         let loads = self.loads.borrow();
         let untried = fleet.usable(&service.name).filter(|s| !history.contains(&s.entry.name));
+        let untried = untried.filter(|s| fleet.pause_left(now, &s.entry).is_none());
         let with_capacity: Vec<&Server> =
             untried.filter(|s| self.has_cold_capacity(now, service, s)).collect();
         let with_capacity = history.prefer_reachable(with_capacity);
@@ -302,6 +303,12 @@
         Some((choice, server))
     }
 
+    /// Returns whether a backend server that was chosen still takes requests.
+    pub fn takes_requests(&self, entry: &Registration) -> bool {
+        let fleet = self.fleet.borrow();
+        fleet.is_usable(&entry.name) && fleet.pause_left(Instant::now(), entry).is_none()
+    }
+
     /// Returns whether a backend server is warm, or this instance may send it another request while
     /// it is cold.
     fn has_cold_capacity(&self, now: Instant, service: &Service, server: &Server) -> bool {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -3,13 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 use super::engine::MigratedKvCache;
 use crate::names::{BackendServerName, OrganisationName};
 use crate::routing::choose::{Demand, PromptPart};
 use crate::routing::load::ReportedLoad;
+use crate::routing::notices::Notice;
 
 const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-laburnumvalve-attempt-id");
 const DEADLINE: HeaderName = HeaderName::from_static("x-laburnumvalve-deadline-ms");
@@ -24,6 +25,9 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-laburnumvalve-not-executed");
 const LOAD: HeaderName = HeaderName::from_static("x-laburnumvalve-instance-load");
 
+/// Set to 1 by a server that leaves.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+
 /// Refers to the migrated KV cache from which an engine resumes a run. It doesn't name the origin
 /// of a cache entry.
 const KV_FROM: HeaderName = HeaderName::from_static("kv-from");
@@ -240,6 +244,19 @@
     Some(ReportedLoad { running, waiting, slots })
 }
 
+/// Parses what a server says about itself in a response. It wants no requests for the time in
+/// `Retry-After` of a 503.
+pub fn parse_notice<B>(rsp: &Response<B>) -> Notice {
+    let text = |name: &HeaderName| rsp.headers().get(name).and_then(|value| value.to_str().ok());
+    let seconds = text(&RETRY_AFTER)
+        .filter(|_| rsp.status() == StatusCode::SERVICE_UNAVAILABLE)
+        .and_then(|text| text.trim().parse::<f64>().ok());
+    Notice {
+        is_leaving: text(&LEAVING).is_some_and(|value| value.trim() == "1"),
+        pause: seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok()),
+    }
+}
+
 /// Returns the base URL of a platform interface.
 pub fn base_url(address: SocketAddr) -> String {
     format!("http://{address}")
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -7,6 +7,7 @@
 
 use crate::names::{BackendServerName, DataCentreName};
 use crate::routing::catalog::ServiceName;
+use crate::routing::notices::{Notice, Notices};
 
 /// Time after the recovery of the registry for which entries that lapsed during its outage stay in
 /// use.
@@ -91,6 +92,7 @@
     address_owners: HashMap<SocketAddr, BackendServerName>,
     /// Removed entries; their backend servers may continue to serve for a while.
     tombstones: HashMap<BackendServerName, Tombstone>,
+    notices: Notices,
     evacuated: HashSet<DataCentreName>,
     is_registry_unavailable: bool,
     registry_recovered_at: Option<Instant>,
@@ -192,6 +194,34 @@
         }
         self.tombstones
             .retain(|_, tombstone| now.duration_since(tombstone.since) < TOMBSTONE_RETENTION);
+        let is_known = |name: &BackendServerName| {
+            self.servers.contains_key(name) || self.tombstones.contains_key(name)
+        };
+        self.notices.purge(now, is_known);
+    }
+
+    /// Records what a process of a backend server says about itself; returns whether it has begun
+    /// to leave.
+    pub fn record_notice(
+        &mut self,
+        now: Instant,
+        name: &BackendServerName,
+        started_at_ms: Option<u64>,
+        notice: Notice,
+    ) -> bool {
+        self.notices.record(now, name, started_at_ms, notice)
+    }
+
+    /// Returns how much longer a backend server wants no requests from this instance; `None` if it
+    /// takes them.
+    pub fn pause_left(&self, now: Instant, entry: &Registration) -> Option<Duration> {
+        self.notices.pause_left(now, &entry.name, entry.started_at_ms)
+    }
+
+    /// Returns the shortest of the pauses of a service's usable backend servers; `None` if any of
+    /// them takes requests.
+    pub fn shortest_pause(&self, now: Instant, service: &ServiceName) -> Option<Duration> {
+        self.usable(service).map(|server| self.pause_left(now, &server.entry)).min().flatten()
     }
 
     /// Sets the evacuated data centres. The backend servers of data centres whose evacuation ended
@@ -230,9 +260,14 @@
         self.servers.get(name).is_some_and(|server| self.is_eligible(server))
     }
 
-    /// Returns when a backend server began to drain or was removed; `None` if neither is the case.
+    /// Returns when a backend server began to drain, or said that it leaves, or was removed; `None`
+    /// if none of these is the case.
     pub fn draining_since(&self, name: &BackendServerName) -> Option<Instant> {
-        let draining = self.servers.get(name).and_then(|server| server.draining_since);
+        let server = self.servers.get(name);
+        let draining = server.and_then(|server| {
+            let leaving = self.notices.leaving_since(name, server.entry.started_at_ms);
+            server.draining_since.into_iter().chain(leaving).min()
+        });
         draining.or_else(|| self.tombstones.get(name).map(|tombstone| tombstone.since))
     }
 
@@ -254,7 +289,9 @@
     fn is_eligible(&self, server: &Server) -> bool {
         let entry = &server.entry;
         let owns_address = self.address_owners.get(&entry.address) == Some(&entry.name);
-        owns_address && !entry.is_draining && !self.evacuated.contains(&entry.data_centre)
+        let is_leaving = self.notices.leaving_since(&entry.name, entry.started_at_ms).is_some();
+        let takes_requests = !entry.is_draining && !is_leaving;
+        owns_address && takes_requests && !self.evacuated.contains(&entry.data_centre)
     }
 
     /// Assigns the address of an entry to the process that started last or, if the start times are
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -12,6 +12,7 @@
 pub mod members;
 pub mod mirror;
 pub mod mix;
+pub mod notices;
 pub mod proof;
 pub mod quarantine;
 pub mod rank;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod drain;
 mod logs;
+mod notices;
 mod outage;
 mod paused;
 mod quarantine;
--- a/tests/routing/wire.rs
+++ b/tests/routing/wire.rs
@@ -7,11 +7,12 @@
 use laburnumvalve::gateway::events::EventSplitter;
 use laburnumvalve::platform::catalog::{decode_config, decode_server};
 use laburnumvalve::platform::headers::{
-    ResponseKind, SendHead, classify_response, forwardable_headers, parse_request_headers,
-    write_send_headers,
+    ResponseKind, SendHead, classify_response, forwardable_headers, parse_notice,
+    parse_request_headers, write_send_headers,
 };
 use laburnumvalve::platform::settings::parse;
 use laburnumvalve::routing::catalog::RequestKind;
+use laburnumvalve::routing::notices::Notice;
 use rstest::rstest;
 use serde_json::json;
 
@@ -188,3 +189,28 @@
     let events = splitter.take_complete().expect("one event is new");
     assert_eq!(&events.bytes[..], b"id: 3\ndata: c\n\n");
 }
+
+#[rstest]
+#[case::nothing(200, &[], Notice::default())]
+#[case::leaving(200, &[("server-leaving", "1")], Notice { is_leaving: true, pause: None })]
+#[case::not_leaving(200, &[("server-leaving", "0")], Notice::default())]
+#[case::pause(503, &[("retry-after", "1.5")],
+    Notice { is_leaving: false, pause: Some(Duration::from_millis(1_500)) })]
+#[case::pause_of_another_status(429, &[("retry-after", "2")], Notice::default())]
+#[case::date(503, &[("retry-after", "Fri, 04 Dec 2026 21:00:00 GMT")], Notice::default())]
+#[case::negative(503, &[("retry-after", "-1")], Notice::default())]
+#[case::endless(503, &[("retry-after", "inf")], Notice::default())]
+fn notice_of_a_server_is_parsed_and_malformed_values_are_ignored(
+    #[case] status: u16,
+    #[case] fields: &[(&str, &str)],
+    #[case] expected: Notice,
+) {
+    let mut rsp = Response::builder().status(status);
+    for (name, value) in fields {
+        rsp = rsp.header(*name, *value);
+    }
+
+    let parsed = parse_notice(&rsp.body(()).expect("the response is valid"));
+
+    assert_eq!(parsed, expected);
+}
