--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -51,7 +51,7 @@
 /// Timeout of a message to another instance.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of a message: above that of the most evidence which an instance keeps.
-const MAX_MESSAGE_BYTES: usize = 2 << 20;
+const MAX_MESSAGE_BYTES: usize = 1 << 20;
 /// Time after which a trial that has shown nothing may be followed by another one.
 const TRIAL_TIME: Duration = Duration::from_secs(5);
 /// Time within which a connection to a server that runs is opened.
--- a/src/gateway/pulls.rs
+++ b/src/gateway/pulls.rs
@@ -90,14 +90,18 @@
     }
 
     async fn respond(&self, req: Request<Incoming>) -> Response<ResponseBody> {
-        if req.uri().path() == EVIDENCE_PATH {
-            let answered = evidence::respond(&self.cx, req).await;
-            return answered.unwrap_or_else(|why| error_response(StatusCode::BAD_REQUEST, why));
-        }
         let Ok(_permit) = self.requests.try_acquire() else {
             let why = format!("more than {MAX_REQUESTS} pull requests at once");
             return error_response(StatusCode::SERVICE_UNAVAILABLE, why);
         };
+        if req.uri().path() == EVIDENCE_PATH {
+            let Ok(_permit) = self.reads.try_acquire() else {
+                let why = format!("more than {MAX_REQUESTS_READ} requests are being read");
+                return error_response(StatusCode::SERVICE_UNAVAILABLE, why);
+            };
+            let response = evidence::respond(&self.cx, req).await;
+            return response.unwrap_or_else(|why| error_response(StatusCode::BAD_REQUEST, why));
+        }
         let pull = match self.read_request(req).await {
             Ok(pull) => pull,
             Err(why) => return error_response(StatusCode::BAD_REQUEST, why),
