Split the checks of prompt parts and the refusal without servers out of the send loop

Names and order only, but for the text of one constant: the minimum Retry-After of a request with a convicted part has a name of its own.

--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -54,6 +54,9 @@
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 /// Time after which a trial that has shown nothing may be followed by another one.
 const TRIAL_TIME: Duration = Duration::from_secs(5);
+/// Minimum `Retry-After` of a request with a convicted part: requests that come earlier would be
+/// refused, as one instance makes one trial at a time.
+const MIN_RETRY_AFTER: Duration = TRIAL_TIME;
 /// Time within which a connection to a server that runs is opened.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -84,7 +87,7 @@
     Passed,
     /// The request may be sent once, but not again if the server crashes.
     NoRetry,
-    /// A part crashes servers, and the next trial is due after this time.
+    /// A part crashes servers; the caller may come back after this time.
     Refused(Duration),
 }
 
@@ -100,8 +103,8 @@
                 PartsCheck::NoRetry
             }
             Standing::Convicted(trial) => {
-                let due_in = trial.map_or(TRIAL_TIME, |trial| trial.due_in);
-                PartsCheck::Refused(due_in.max(TRIAL_TIME))
+                let due_in = trial.map_or(Duration::ZERO, |trial| trial.due_in);
+                PartsCheck::Refused(due_in.max(MIN_RETRY_AFTER))
             }
         }
     }
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -174,23 +174,11 @@
             let why = "the key was withdrawn or can't be verified any more";
             return Err(attempts.final_refusal(request, record, why, refusal));
         }
-        let parts = cx.evidence.check(cx, request);
-        if let PartsCheck::Refused(retry_after) = parts {
-            cx.metrics.add(Counter::Quarantined, request.route.name.as_str(), 1);
-            let refusal = Refusal::NotRun { retry_after_s: retry_after.as_secs_f64() };
-            let why = "a part of the prompt crashes backend servers";
-            return Err(attempts.final_refusal(request, record, why, refusal));
-        }
-        if parts == PartsCheck::NoRetry && attempts.may_have_run {
-            let why = "a part of the prompt may have crashed the backend server";
-            return Err(attempts.final_refusal(request, record, why, REFUSED_NOT_RUN));
-        }
+        check_prompt_parts(cx, request, record, &attempts)?;
         let demand = &request.head.demand;
         let Some((choice, server)) = cx.choose(&request.service, demand, &attempts.history) else {
             let why = "no backend server is available";
-            let pause = cx.fleet.borrow().shortest_pause(Instant::now(), &request.service.name);
-            let pause_s = pause.map_or(RETRY_AFTER_NOT_RUN_S, |pause| pause.as_secs_f64());
-            let refusal = Refusal::NotRun { retry_after_s: pause_s.max(RETRY_AFTER_NOT_RUN_S) };
+            let refusal = refuse_for_lack_of_servers(cx, request);
             return Err(attempts.final_refusal(request, record, why, refusal));
         };
         if attempts.history.needs_retry_budget() && !cx.take_retry(&request.service.name) {
@@ -233,6 +221,39 @@
     }
 }
 
+/// Checks whether the parts of a request's prompt allow another send.
+///
+/// # Errors
+/// If a part crashes backend servers, or may be what has just crashed one.
+fn check_prompt_parts(
+    cx: &InstanceState,
+    request: &AdmittedRequest,
+    record: &RequestRecord,
+    attempts: &Attempts,
+) -> Result<(), Refusal> {
+    match cx.evidence.check(cx, request) {
+        PartsCheck::Refused(retry_after) => {
+            cx.metrics.add(Counter::Quarantined, request.route.name.as_str(), 1);
+            let refusal = Refusal::NotRun { retry_after_s: retry_after.as_secs_f64() };
+            let why = "a part of the prompt crashes backend servers";
+            Err(attempts.final_refusal(request, record, why, refusal))
+        }
+        PartsCheck::NoRetry if attempts.may_have_run => {
+            let why = "a part of the prompt may have crashed the backend server";
+            Err(attempts.final_refusal(request, record, why, REFUSED_NOT_RUN))
+        }
+        PartsCheck::Passed | PartsCheck::NoRetry => Ok(()),
+    }
+}
+
+/// Returns the response to a request for which there is no backend server. If all of them want no
+/// requests for a while, the caller may come back after the shortest of these times.
+fn refuse_for_lack_of_servers(cx: &InstanceState, request: &AdmittedRequest) -> Refusal {
+    let pause = cx.fleet.borrow().shortest_pause(Instant::now(), &request.service.name);
+    let pause_s = pause.map_or(RETRY_AFTER_NOT_RUN_S, |pause| pause.as_secs_f64());
+    Refusal::NotRun { retry_after_s: pause_s.max(RETRY_AFTER_NOT_RUN_S) }
+}
+
 /// Checks the key of an admitted request again, as the configuration may have changed since.
 ///
 /// # Errors
--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -30,6 +30,9 @@
 const TRIAL_DELAY_FACTOR: u32 = 10;
 /// Maximum time between trials.
 const MAX_TRIAL_DELAY: Duration = Duration::from_secs(600);
+/// Time for which a due trial is left to the instances that may make it before the number of these
+/// doubles; the parts of most prompts arrive at each instance within it.
+const TRIAL_DOUBLING_TIME: Duration = Duration::from_secs(10);
 /// Time for which evidence that doesn't convict a part is kept.
 const SUSPICION_RETENTION: Duration = Duration::from_secs(60);
 /// Time for which the evidence against a convicted part is kept after its last crash.
@@ -75,11 +78,11 @@
     Sound,
     /// Requests are sent, but not again after they ended with a crash.
     Suspect,
-    /// Requests are not sent, except for trials.
+    /// Requests are not sent. One with a single convicted part may serve as a trial of it.
     Convicted(Option<Trial>),
 }
 
-/// When a convicted part may be tried with a request that has no other convicted part.
+/// When a convicted part is tried again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Trial {
     /// The convicted part.
@@ -105,7 +108,7 @@
 impl PartEvidence {
     /// Returns the number of crashes since the last answer; those at the same time count once.
     fn count(&self) -> usize {
-        let mut times: Vec<BootTime> = self.open().map(|(_, crash)| crash.at).collect();
+        let mut times: Vec<BootTime> = self.uncleared().map(|(_, crash)| crash.at).collect();
         times.sort_unstable();
         let mut counted: Option<BootTime> = None;
         let mut count = 0;
@@ -119,11 +122,11 @@
     }
 
     /// Returns the crashes since the last answer.
-    fn open(&self) -> impl Iterator<Item = (&ServerProcess, &Crash)> {
+    fn uncleared(&self) -> impl Iterator<Item = (&ServerProcess, &Crash)> {
         self.crashes.iter().filter(|(_, crash)| !crash.is_cleared)
     }
 
-    fn is_open(&self, process: &ServerProcess) -> bool {
+    fn has_uncleared(&self, process: &ServerProcess) -> bool {
         self.crashes.get(process).is_some_and(|crash| !crash.is_cleared)
     }
 
@@ -307,7 +310,8 @@
             .iter()
             .filter(|(other, _)| request.iter().all(|of_request| of_request.id != **other));
         others.any(|(_, other)| {
-            other.is_convicted() && evidence.open().all(|(process, _)| other.is_open(process))
+            other.is_convicted()
+                && evidence.uncleared().all(|(process, _)| other.has_uncleared(process))
         })
     }
 
@@ -337,10 +341,6 @@
     CrashReport { part, process: process.clone(), age_ms, is_cleared: crash.is_cleared }
 }
 
-/// Time for which a due trial is left to the instances that may make it before the number of these
-/// doubles; the parts of most prompts arrive at each instance within it.
-const TRIAL_DOUBLING_TIME: Duration = Duration::from_secs(10);
-
 /// Returns whether the instance of a rank may try a convicted part. First only one may, as each
 /// trial may cost a server.
 pub fn may_try(rank: usize, overdue: Duration) -> bool {
