--- a/review/common.rs
+++ b/review/common.rs
@@ -72,7 +72,8 @@
     }
 
     pub fn add(&self, text: impl AsRef<str>) {
-        let line = format!("{:>9.3} s  {}\n", self.started_at.elapsed().as_secs_f64(), text.as_ref());
+        let line =
+            format!("{:>9.3} s  {}\n", self.started_at.elapsed().as_secs_f64(), text.as_ref());
         let _ = lock(&self.file).write_all(line.as_bytes());
     }
 
@@ -315,9 +316,11 @@
             }
         });
         let expiry = store.clone();
-        thread::spawn(move || loop {
-            sleep_ms(100);
-            expiry.expire();
+        thread::spawn(move || {
+            loop {
+                sleep_ms(100);
+                expiry.expire();
+            }
         });
         store
     }
@@ -632,7 +635,8 @@
 
     pub fn signal(&self, name: &str) {
         self.record.add(format!("gateway {} gets SIG{name}", self.name));
-        let _ = Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
+        let _ =
+            Command::new("kill").arg(format!("-{name}")).arg(self.child.id().to_string()).status();
     }
 
     pub fn kill(&mut self) {
@@ -780,10 +784,30 @@
         )
     };
     let routes = [
-        route("r-align", "align", "streaming", "\"timeout-ms\":5000,\"target-latency-ms\":800,\"priority\":1,\"service\":\"timing-model\",\"max-attempts\":2,\"sticky\":true,\"resumable\":true,\"gap-target-ms\":500"),
-        route("r-query", "query", "streaming", "\"timeout-ms\":15000,\"target-latency-ms\":400,\"priority\":0,\"service\":\"timing-model\",\"max-attempts\":1,\"sticky\":true,\"resumable\":false,\"gap-target-ms\":300"),
-        route("r-deliver", "deliver", "non_idempotent", "\"timeout-ms\":1000,\"target-latency-ms\":100,\"priority\":2,\"service\":\"cue-desk\",\"max-attempts\":1,\"sticky\":false,\"resumable\":false"),
-        route("r-fetch", "fetch", "idempotent", "\"timeout-ms\":1000,\"target-latency-ms\":100,\"priority\":2,\"service\":\"cue-desk\",\"max-attempts\":2,\"sticky\":false,\"resumable\":false"),
+        route(
+            "r-align",
+            "align",
+            "streaming",
+            "\"timeout-ms\":5000,\"target-latency-ms\":800,\"priority\":1,\"service\":\"timing-model\",\"max-attempts\":2,\"sticky\":true,\"resumable\":true,\"gap-target-ms\":500",
+        ),
+        route(
+            "r-query",
+            "query",
+            "streaming",
+            "\"timeout-ms\":15000,\"target-latency-ms\":400,\"priority\":0,\"service\":\"timing-model\",\"max-attempts\":1,\"sticky\":true,\"resumable\":false,\"gap-target-ms\":300",
+        ),
+        route(
+            "r-deliver",
+            "deliver",
+            "non_idempotent",
+            "\"timeout-ms\":1000,\"target-latency-ms\":100,\"priority\":2,\"service\":\"cue-desk\",\"max-attempts\":1,\"sticky\":false,\"resumable\":false",
+        ),
+        route(
+            "r-fetch",
+            "fetch",
+            "idempotent",
+            "\"timeout-ms\":1000,\"target-latency-ms\":100,\"priority\":2,\"service\":\"cue-desk\",\"max-attempts\":2,\"sticky\":false,\"resumable\":false",
+        ),
     ];
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[\
@@ -851,14 +875,20 @@
             runs: AtomicU64::new(0),
             sockets: Mutex::default(),
         };
-        let runner =
-            Self { state: Arc::new(state), store: store.clone(), record: record.clone(), behaviour };
+        let runner = Self {
+            state: Arc::new(state),
+            store: store.clone(),
+            record: record.clone(),
+            behaviour,
+        };
         runner.come_up();
         let beats = runner.clone();
-        thread::spawn(move || loop {
-            sleep_ms(HEARTBEAT_MS);
-            if beats.state.is_up.load(Ordering::SeqCst) {
-                beats.write_entry();
+        thread::spawn(move || {
+            loop {
+                sleep_ms(HEARTBEAT_MS);
+                if beats.state.is_up.load(Ordering::SeqCst) {
+                    beats.write_entry();
+                }
             }
         });
         runner
@@ -903,7 +933,8 @@
         state.born.store(unix_ms(), Ordering::SeqCst);
         state.is_draining.store(false, Ordering::SeqCst);
         state.is_up.store(true, Ordering::SeqCst);
-        self.record.add(format!("runner {} of {} starts at {}", state.id, state.service, state.address));
+        self.record
+            .add(format!("runner {} of {} starts at {}", state.id, state.service, state.address));
         let born = state.born.load(Ordering::SeqCst);
         let runner = self.clone();
         listener.set_nonblocking(true).expect("a listener can be polled");
