--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -101,7 +101,7 @@
         return Err(Refusal::NotRun { retry_after_s: RETRY_AFTER_SHUTDOWN_S });
     }
     cx.record_request(&service, &head.demand);
-    Ok(AdmittedRequest {
+    let request = AdmittedRequest {
         service,
         organisation,
         method: parts.method,
@@ -113,7 +113,9 @@
         usage_counted: false.into(),
         head,
         route,
-    })
+    };
+    record.set_tier(request.tier());
+    Ok(request)
 }
 
 /// Waits for the state that routing needs after the start of the process, so that a request which
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -32,6 +32,8 @@
 struct Fields {
     route: Option<RouteName>,
     organisation: Option<OrganisationName>,
+    /// Priority tier; `None` before the request is admitted.
+    tier: Option<u8>,
     config: u64,
     proof_age: Option<Duration>,
     latency_target: Duration,
@@ -68,6 +70,11 @@
         self.fields.borrow_mut().organisation = Some(organisation.clone());
     }
 
+    /// Records the priority tier, which every send states.
+    pub fn set_tier(&self, tier: u8) {
+        self.fields.borrow_mut().tier = Some(tier);
+    }
+
     /// Records an attempt and logs the figures behind the choice of the server at once, so that
     /// they are available even if the process ends before the request does.
     pub fn send_started(&self, choice: &Choice) {
@@ -78,6 +85,7 @@
             target: SEND_LOG_TARGET,
             id = self.id,
             %server,
+            tier = fields.tier,
             after_ms,
             cost_ms = cost_ms.round(),
             load = occupancy,
@@ -115,6 +123,29 @@
         }
     }
 
+    /// Records the outcome of an attempt to migrate the run in progress; `refused_by` is the engine
+    /// that had no room for it.
+    pub fn migration_ended(&self, outcome: &'static str, refused_by: Option<&BackendServerName>) {
+        self.cx.metrics.add(Counter::Migrations, outcome, 1);
+        let fields = self.fields.borrow();
+        let from = fields.open_send.as_ref().map(|(server, _)| server.as_str());
+        tracing::info!(
+            target: SEND_LOG_TARGET,
+            id = self.id,
+            from,
+            tier = fields.tier,
+            outcome,
+            refused_by = refused_by.map(BackendServerName::as_str),
+            "migration ended"
+        );
+    }
+
+    /// Records that a stream broke off after it had begun.
+    pub fn stream_interrupted(&self) {
+        let tier = self.fields.borrow().tier.map_or_else(|| "none".to_owned(), |t| t.to_string());
+        self.cx.metrics.add(Counter::InterruptedStreams, &tier, 1);
+    }
+
     /// Records why the request is not sent, or not retried.
     pub fn set_reason(&self, reason: &'static str) {
         self.fields.borrow_mut().reason = Some(reason);
@@ -145,6 +176,7 @@
             id = self.id,
             route,
             organisation = fields.organisation.as_ref().map_or("none", OrganisationName::as_str),
+            tier = fields.tier,
             config = fields.config,
             proof_age_ms = fields.proof_age.map(|age| age.as_millis() as u64),
             sends = fields.sends.join("; "),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -18,11 +18,12 @@
 use super::events::{EventSplitter, MAX_EVENT_BYTES};
 use super::handle::recheck_key;
 use super::links::ConnectionError;
+use super::migration::{self, MigrationError};
 use super::record::RequestRecord;
 use super::shared::InstanceState;
 use crate::metrics::{Counter, DurationMetric};
 use crate::names::BackendServerName;
-use crate::platform::engine::{self, MigratedKvCache};
+use crate::platform::engine::{self, CopyError, MigratedKvCache};
 use crate::platform::headers;
 use crate::routing::catalog::RequestKind;
 use crate::routing::choose::Demand;
@@ -185,13 +186,10 @@
             }
             if self.should_migrate() {
                 self.is_migration_excluded = true;
-                let migrated = self.migrate().await;
+                self.migrate_and_record().await;
                 if let Some(bytes) = self.pending.take() {
                     return Some(Ok(bytes));
                 }
-                if let Err(why) = migrated {
-                    self.record.send_ended(&format!("not migrated: {why}"));
-                }
             }
             if self.current_run.is_none()
                 && let Err(why) = self.resume_or_fail("the run ended during its migration").await
@@ -238,6 +236,7 @@
         self.record.send_ended(reason);
         self.resume().await.map_err(|why| {
             self.is_finished = true;
+            self.record.stream_interrupted();
             self.record.set_outcome(format!("the stream failed: {why}"), 0);
             TruncatedBody(why)
         })
@@ -253,12 +252,22 @@
         since.is_some_and(|since| since.elapsed() > self.migration_delay)
     }
 
+    async fn migrate_and_record(&mut self) {
+        match self.migrate().await {
+            Ok(()) => self.record.migration_ended(migration::COMPLETED, None),
+            Err(error) => {
+                tracing::debug!(%error, "run not migrated");
+                self.record.migration_ended(error.label(), error.refused_by());
+            }
+        }
+    }
+
     /// Migrates the run with its KV cache to another engine and continues the stream there.
     ///
     /// # Errors
     /// Describes why the migration failed; the run continues at its engine or has ended.
-    async fn migrate(&mut self) -> Result<(), String> {
-        let Some((_, run)) = &self.current_run else { return Err("the run has ended".to_owned()) };
+    async fn migrate(&mut self) -> Result<(), MigrationError> {
+        let Some((_, run)) = &self.current_run else { return Err(MigrationError::RunEnded) };
         let (from, address) = (run.server.clone(), run.address);
         // The KV cache is copied, so the other engine has hardly any prompt to prefill.
         let demand = Demand { prompt_tokens: 1, ..self.request.head.demand.clone() };
@@ -266,16 +275,19 @@
         excluded.record_send(from.clone());
         let alternative = self.cx.choose(&self.request.service, &demand, &excluded);
         let Some((choice, server)) = alternative else {
-            return Err("no other engine is available".to_owned());
+            return Err(MigrationError::NoEngine);
         };
-        self.check_key()?;
+        self.check_key().map_err(|_| MigrationError::KeyRejected)?;
         if !self.cx.take_retry(&self.request.service.name) {
-            return Err("the retry budget is exhausted".to_owned());
+            return Err(MigrationError::BudgetExhausted);
         }
         // Pre-copy: most of the cache is copied while the run continues, so that the run has to
         // stop only for the remainder.
-        self.copy_kv_cache(&from, address, server.entry.address, false).await?;
-        let kv_cache = self.copy_kv_cache(&from, address, server.entry.address, true).await?;
+        let copy_error = |error| MigrationError::Copy(choice.server.clone(), error);
+        let target = server.entry.address;
+        self.copy_kv_cache(&from, address, target, false).await.map_err(copy_error)?;
+        let kv_cache =
+            self.copy_kv_cache(&from, address, target, true).await.map_err(copy_error)?;
         let rest = tokio::time::timeout(MIGRATION_CALL_TIMEOUT, self.drain_current_run()).await;
         if rest.is_err() {
             self.record.send_ended("the stream of the migrated run did not end in time");
@@ -297,11 +309,16 @@
                 self.current_run = Some((reply.rsp.into_body(), reply.run));
                 Ok(())
             }
-            SendOutcome::Response(reply) => Err(format!("status {}", reply.rsp.status().as_u16())),
+            SendOutcome::Response(reply) => {
+                let status = reply.rsp.status().as_u16();
+                Err(MigrationError::NotContinued(format!("status {status}")))
+            }
             SendOutcome::NotRun | SendOutcome::Misdirected => {
-                Err("the other engine did not accept the run".to_owned())
+                Err(MigrationError::NotContinued("not accepted".to_owned()))
+            }
+            SendOutcome::NotSent(why) | SendOutcome::Unknown(why) => {
+                Err(MigrationError::NotContinued(why))
             }
-            SendOutcome::NotSent(why) | SendOutcome::Unknown(why) => Err(why),
         }
     }
 
@@ -316,10 +333,10 @@
         source_address: SocketAddr,
         target_address: SocketAddr,
         stops_run: bool,
-    ) -> Result<MigratedKvCache, String> {
-        let attempt = self.request.head.attempt.as_ref().ok_or("the request has no attempt ID")?;
+    ) -> Result<MigratedKvCache, CopyError> {
+        let attempt = self.request.head.attempt.as_ref().ok_or(CopyError::RunEnded)?;
         let req = engine::migration_request(source_address, attempt, target_address, stops_run)
-            .map_err(|error| error.to_string())?;
+            .map_err(|error| CopyError::Failed(error.to_string()))?;
         let call = async {
             let mut connection =
                 self.cx.pool.acquire(source, source_address, MIGRATION_CALL_TIMEOUT).await?;
@@ -334,10 +351,12 @@
         let result: Result<_, ConnectionError> =
             tokio::time::timeout(MIGRATION_CALL_TIMEOUT, call).await.map_err(|_| {
                 let timeout_ms = MIGRATION_CALL_TIMEOUT.as_millis();
-                format!("copying the KV cache timed out after {timeout_ms} ms")
+                CopyError::Failed(format!("no response within {timeout_ms} ms"))
             })?;
         let (status, body) = result.map_err(|error| match error {
-            ConnectionError::NotSent(why) | ConnectionError::NoResponse(why) => why,
+            ConnectionError::NotSent(why) | ConnectionError::NoResponse(why) => {
+                CopyError::Failed(why)
+            }
         })?;
         engine::parse_migration_response(source_address, status, &body)
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -31,6 +31,10 @@
     Retried,
     /// Requests refused because a part of their prompt crashes backend servers, by class.
     Quarantined,
+    /// Attempts to migrate a run to another engine, by outcome.
+    Migrations,
+    /// Streams that broke off after they had begun, by tier.
+    InterruptedStreams,
     /// Calls to the platform, by kind.
     PlatformCalls,
     /// Calls to the platform that failed, by kind.
@@ -64,6 +68,8 @@
             Self::Refused => ("refused_requests_total", "code"),
             Self::Retried => ("retried_requests_total", "reason"),
             Self::Quarantined => ("quarantined_requests_total", "class"),
+            Self::Migrations => ("migrations_total", "outcome"),
+            Self::InterruptedStreams => ("interrupted_streams_total", "tier"),
             Self::PlatformCalls => ("platform_calls_total", "kind"),
             Self::PlatformFailures => ("platform_failures_total", "kind"),
             Self::UsageWindows => ("usage_windows_total", "outcome"),
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -1,5 +1,6 @@
 //! Calls to model engines other than requests: migration of a run's KV cache to another engine.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -28,6 +29,30 @@
     }
 }
 
+/// Reason why the KV cache of a run was not copied.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CopyError {
+    /// The engine has no run with this attempt ID.
+    RunEnded,
+    /// Another copy of the run is in progress.
+    InProgress,
+    /// The destination has no slot or memory left, or can't be reached.
+    NoRoom,
+    /// The call failed, or its response is not one of the above.
+    Failed(String),
+}
+
+impl fmt::Display for CopyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::RunEnded => f.write_str("the engine has no run with this attempt ID"),
+            Self::InProgress => f.write_str("another copy of the run is in progress"),
+            Self::NoRoom => f.write_str("the destination has no room or can't be reached"),
+            Self::Failed(why) => f.write_str(why),
+        }
+    }
+}
+
 #[derive(Deserialize)]
 struct WireMigration {
     /// String or number.
@@ -67,16 +92,16 @@
     source: SocketAddr,
     status: StatusCode,
     body: &[u8],
-) -> Result<MigratedKvCache, String> {
+) -> Result<MigratedKvCache, CopyError> {
     match status {
         StatusCode::OK => {}
-        StatusCode::NOT_FOUND => {
-            return Err("the engine has no run with this attempt ID".to_owned());
-        }
-        StatusCode::CONFLICT => return Err("another copy of the run is in progress".to_owned()),
-        status => return Err(format!("unexpected status {}", status.as_u16())),
+        StatusCode::NOT_FOUND => return Err(CopyError::RunEnded),
+        StatusCode::CONFLICT => return Err(CopyError::InProgress),
+        StatusCode::SERVICE_UNAVAILABLE => return Err(CopyError::NoRoom),
+        status => return Err(CopyError::Failed(format!("unexpected status {}", status.as_u16()))),
     }
-    let wire: WireMigration = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    let wire: WireMigration =
+        serde_json::from_slice(body).map_err(|error| CopyError::Failed(error.to_string()))?;
     let handle = match wire.handle {
         serde_json::Value::String(text) => text,
         other => other.to_string(),
