--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod drain;
 mod logs;
+mod migration;
 mod notices;
 mod outage;
 mod paused;
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and fixtures for the gateway tests.
 
 pub mod crashing;
+pub mod engine;
 pub mod instance;
 pub mod raw;
 pub mod runner;
