--- a/src/gateway/migration.rs
+++ b/src/gateway/migration.rs
@@ -40,6 +40,15 @@
         }
     }
 
+    /// Returns whether another attempt may succeed; otherwise the run has ended or must not go on.
+    pub fn may_be_retried(&self) -> bool {
+        match self {
+            Self::NoEngine | Self::BudgetExhausted => true,
+            Self::Copy(_, error) => *error != CopyError::RunEnded,
+            Self::RunEnded | Self::KeyRejected | Self::NotContinued(_) => false,
+        }
+    }
+
     /// Returns the engine that had no room for the run.
     pub fn refused_by(&self) -> Option<&BackendServerName> {
         match self {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -26,8 +26,8 @@
 use crate::platform::engine::{self, CopyError, MigratedKvCache};
 use crate::platform::headers;
 use crate::routing::catalog::RequestKind;
-use crate::routing::choose::Demand;
 use crate::routing::load::Verdict;
+use crate::routing::migration::MigrationAttempts;
 use crate::routing::tried::SendHistory;
 
 /// Gap between events after which a resumable stream counts as stalled, as a multiple of the
@@ -68,11 +68,7 @@
     pending: Option<Bytes>,
     /// Whether the stream has ended, successfully or not.
     is_finished: bool,
-    /// Time after the start of a backend server's shutdown at which this stream is migrated.
-    migration_delay: Duration,
-    /// Whether this stream is not migrated (again): a migration was attempted, or the service
-    /// doesn't support it.
-    is_migration_excluded: bool,
+    migrations: MigrationAttempts,
 }
 
 /// Reason why the current run yields no further bytes.
@@ -100,6 +96,12 @@
         // The length of the resumed stream may differ.
         parts.headers.remove(CONTENT_LENGTH);
     }
+    let migrations = if request.service.is_engine {
+        let delay = rand::rng().random_range(MIGRATION_DELAY[0]..MIGRATION_DELAY[1]);
+        MigrationAttempts::after(delay)
+    } else {
+        MigrationAttempts::excluded()
+    };
     let mut relay = StreamRelay {
         cx: cx.clone(),
         request: request.clone(),
@@ -112,8 +114,7 @@
         last_sent_at: Instant::now(),
         pending: None,
         is_finished: false,
-        migration_delay: rand::rng().random_range(MIGRATION_DELAY[0]..MIGRATION_DELAY[1]),
-        is_migration_excluded: !request.service.is_engine,
+        migrations,
     };
     let first = relay.read_first().await?;
     record.mark_first_output();
@@ -185,7 +186,6 @@
                 return None;
             }
             if self.should_migrate() {
-                self.is_migration_excluded = true;
                 self.migrate_and_record().await;
                 if let Some(bytes) = self.pending.take() {
                     return Some(Ok(bytes));
@@ -242,23 +242,31 @@
         })
     }
 
-    /// Returns whether the backend server shuts down and the migration is due.
+    /// Returns whether the backend server shuts down and an attempt to migrate the run is due.
     fn should_migrate(&self) -> bool {
-        let Some((_, run)) = self.current_run.as_ref().filter(|_| !self.is_migration_excluded)
-        else {
-            return false;
-        };
-        let since = self.cx.fleet.borrow().draining_since(&run.server);
-        since.is_some_and(|since| since.elapsed() > self.migration_delay)
+        let Some((_, run)) = self.current_run.as_ref() else { return false };
+        let draining_since = self.cx.fleet.borrow().draining_since(&run.server);
+        self.migrations.is_due(Instant::now(), draining_since)
     }
 
     async fn migrate_and_record(&mut self) {
-        match self.migrate().await {
-            Ok(()) => self.record.migration_ended(migration::COMPLETED, None),
-            Err(error) => {
-                tracing::debug!(%error, "run not migrated");
-                self.record.migration_ended(error.label(), error.refused_by());
+        let now = Instant::now();
+        self.migrations.record_start(now);
+        let error = match self.migrate().await {
+            Ok(()) => {
+                self.migrations.record_success();
+                self.record.migration_ended(migration::COMPLETED, None);
+                return;
             }
+            Err(error) => error,
+        };
+        tracing::debug!(%error, "run not migrated");
+        self.record.migration_ended(error.label(), error.refused_by());
+        if let Some(engine) = error.refused_by() {
+            self.cx.loads.borrow_mut().get_or_insert(engine).record_refused_copy(now);
+            self.migrations.record_refusal(engine.clone());
+        } else if !error.may_be_retried() {
+            self.migrations.exclude();
         }
     }
 
@@ -269,16 +277,15 @@
     async fn migrate(&mut self) -> Result<(), MigrationError> {
         let Some((_, run)) = &self.current_run else { return Err(MigrationError::RunEnded) };
         let (from, address) = (run.server.clone(), run.address);
-        // The KV cache is copied, so the other engine has hardly any prompt to prefill.
-        let demand = Demand { prompt_tokens: 1, ..self.request.head.demand.clone() };
+        let service = &self.request.service;
         let mut excluded = self.history.clone();
         excluded.record_send(from.clone());
-        let alternative = self.cx.choose(&self.request.service, &demand, &excluded);
-        let Some((choice, server)) = alternative else {
-            return Err(MigrationError::NoEngine);
-        };
+        let demand = &self.request.head.demand;
+        let alternative =
+            self.cx.choose_for_migration(service, demand, &excluded, &self.migrations);
+        let (choice, server) = alternative.ok_or(MigrationError::NoEngine)?;
         self.check_key().map_err(|_| MigrationError::KeyRejected)?;
-        if !self.cx.take_retry(&self.request.service.name) {
+        if !self.cx.has_retry(&service.name) {
             return Err(MigrationError::BudgetExhausted);
         }
         // Pre-copy: most of the cache is copied while the run continues, so that the run has to
@@ -286,6 +293,10 @@
         let copy_error = |error| MigrationError::Copy(choice.server.clone(), error);
         let target = server.entry.address;
         self.copy_kv_cache(&from, address, target, false).await.map_err(copy_error)?;
+        // A refused copy sends no request, so it takes nothing from the budget.
+        if !self.cx.take_retry(&service.name) {
+            return Err(MigrationError::BudgetExhausted);
+        }
         let kv_cache =
             self.copy_kv_cache(&from, address, target, true).await.map_err(copy_error)?;
         let rest = tokio::time::timeout(MIGRATION_CALL_TIMEOUT, self.drain_current_run()).await;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -21,6 +21,7 @@
 use crate::routing::fleet::{Fleet, Registration, Server};
 use crate::routing::load::{Loads, Verdict};
 use crate::routing::members::Members;
+use crate::routing::migration::MigrationAttempts;
 use crate::routing::mirror::Mirror;
 use crate::routing::mix::WorkloadMix;
 use crate::routing::proof::FreshnessProof;
@@ -262,6 +263,13 @@
         budgets.entry(service.clone()).or_default().try_acquire(Instant::now(), count, &cfg.budget)
     }
 
+    /// Returns whether the budget of a service allows a retry.
+    pub fn has_retry(&self, service: &ServiceName) -> bool {
+        let (now, cfg, count) = (Instant::now(), self.cfg(), self.instance_count());
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(service.clone()).or_default().remaining(now, count, &cfg.budget) > 0
+    }
+
     /// Returns the remaining retries of this instance by service.
     pub fn retries_left(&self) -> Vec<(ServiceName, u64)> {
         let (now, cfg, count) = (Instant::now(), self.cfg(), self.instance_count());
@@ -285,6 +293,42 @@
         let cfg = self.cfg();
         let fleet = self.fleet.borrow();
         let loads = self.loads.borrow();
+        let candidates = self.candidates(now, service, history, &fleet, &loads);
+        let settings = self.choice_settings(service, &cfg);
+        let choice = choose(now, &settings, &cfg.data_centre, demand, &candidates, &loads)?;
+        let server = fleet.get(&choice.server)?.clone();
+        Some((choice, server))
+    }
+
+    /// Chooses the engine that a running request is migrated to.
+    pub fn choose_for_migration(
+        &self,
+        service: &Service,
+        demand: &Demand,
+        history: &SendHistory,
+        attempts: &MigrationAttempts,
+    ) -> Option<(Choice, Server)> {
+        let now = Instant::now();
+        let cfg = self.cfg();
+        let fleet = self.fleet.borrow();
+        let loads = self.loads.borrow();
+        let engines = self.candidates(now, service, history, &fleet, &loads);
+        let settings = self.choice_settings(service, &cfg);
+        let choice =
+            attempts.choose_engine(now, &settings, &cfg.data_centre, demand, &engines, &loads)?;
+        let server = fleet.get(&choice.server)?.clone();
+        Some((choice, server))
+    }
+
+    /// Returns the backend servers that a request may be sent to.
+    fn candidates<'a>(
+        &self,
+        now: Instant,
+        service: &'a Service,
+        history: &SendHistory,
+        fleet: &'a Fleet,
+        loads: &Loads,
+    ) -> Vec<&'a Server> {
         let untried = fleet.usable(&service.name).filter(|s| !history.contains(&s.entry.name));
         let untried = untried.filter(|s| fleet.pause_left(now, &s.entry).is_none());
         let with_capacity: Vec<&Server> =
@@ -292,15 +336,9 @@
         let with_capacity = history.prefer_reachable(with_capacity);
         let is_ejected =
             |s: &&Server| loads.get(&s.entry.name).is_some_and(|load| load.is_ejected(now));
-        let mut healthy: Vec<&Server> =
+        let healthy: Vec<&Server> =
             with_capacity.iter().copied().filter(|s| !is_ejected(s)).collect();
-        if healthy.is_empty() {
-            healthy = with_capacity;
-        }
-        let settings = self.choice_settings(service, &cfg);
-        let choice = choose(now, &settings, &cfg.data_centre, demand, &healthy, &loads)?;
-        let server = fleet.get(&choice.server)?.clone();
-        Some((choice, server))
+        if healthy.is_empty() { with_capacity } else { healthy }
     }
 
     /// Returns whether a backend server that was chosen still takes requests.
--- a/src/routing/load.rs
+++ b/src/routing/load.rs
@@ -14,6 +14,8 @@
 const PREFIX_CACHE_TTL: Duration = Duration::from_secs(20);
 /// Maximum number of prompt parts tracked per backend server; about what its KV cache holds.
 const MAX_CACHED_PARTS: usize = 512;
+/// Time for which an engine that refused the copy of a run is taken to have no room for others.
+const REFUSED_COPY_TTL: Duration = Duration::from_millis(300);
 /// Transport failures without a success in between after which a backend server is ejected.
 const EJECTION_THRESHOLD: u32 = 2;
 /// Duration of the first ejection since the last success; doubles with each further one up to
@@ -60,6 +62,7 @@
     ejections: u32,
     ejected_until: Option<Instant>,
     cached_parts: HashMap<u64, Instant>,
+    copy_refused_at: Option<Instant>,
 }
 
 impl ServerLoad {
@@ -117,6 +120,18 @@
         self.fresh_report(now).map(|(_, age)| age)
     }
 
+    /// Records that the engine had no room for a run of another one.
+    pub fn record_refused_copy(&mut self, now: Instant) {
+        self.copy_refused_at = Some(now);
+    }
+
+    /// Returns whether the engine seems to have one of its `slots` left for a run of another one.
+    pub fn has_room_for_run(&self, now: Instant, slots: u32) -> bool {
+        let is_refusing =
+            self.copy_refused_at.is_some_and(|at| now.duration_since(at) < REFUSED_COPY_TTL);
+        !is_refusing && self.occupancy(now) < slots
+    }
+
     fn fresh_report(&self, now: Instant) -> Option<(ReportedLoad, Duration)> {
         let (load, at) = self.reported?;
         let age = now.duration_since(at);
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod load;
 pub mod members;
+pub mod migration;
 pub mod mirror;
 pub mod mix;
 pub mod notices;
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -5,6 +5,7 @@
 mod direct_reads;
 mod fleet;
 mod limits;
+mod migration;
 mod notices;
 mod peers;
 mod quarantine;
