--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -45,6 +45,8 @@
     pub service: std::sync::Arc<Service>,
     /// Organisation of the caller; `None` if no key is needed.
     pub organisation: Option<std::sync::Arc<Organisation>>,
+    /// Urgency that backend servers are told.
+    pub urgency: u8,
     /// HTTP method.
     pub method: Method,
     /// Request URI, as received.
@@ -62,12 +64,6 @@
 }
 
 impl AdmittedRequest {
-    /// Returns the priority tier; the organisation's tier overrides the route's.
-    pub fn tier(&self) -> u8 {
-        let own = self.organisation.as_ref().and_then(|organisation| organisation.tier);
-        own.unwrap_or(self.route.tier)
-    }
-
     /// Returns the time until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -253,7 +249,7 @@
         server: name,
         organisation: request.organisation_name(),
         time_left: left,
-        tier: request.tier(),
+        urgency: request.urgency,
         last_event: resume.last_event,
         kv_cache: resume.kv_cache,
     };
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -100,10 +100,13 @@
         record.set_reason("the instance shuts down before the request's deadline");
         return Err(Refusal::NotRun { retry_after_s: RETRY_AFTER_SHUTDOWN_S });
     }
+    let urgency = catalog.urgency(&route, organisation.as_deref());
+    record.set_urgency(urgency);
     cx.record_request(&service, &head.demand);
-    let request = AdmittedRequest {
+    Ok(AdmittedRequest {
         service,
         organisation,
+        urgency,
         method: parts.method,
         uri: parts.uri,
         headers: headers::forwardable_headers(&parts.headers),
@@ -113,9 +116,7 @@
         usage_counted: false.into(),
         head,
         route,
-    };
-    record.set_tier(request.tier());
-    Ok(request)
+    })
 }
 
 /// Waits for the state that routing needs after the start of the process, so that a request which
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -32,8 +32,8 @@
 struct Fields {
     route: Option<RouteName>,
     organisation: Option<OrganisationName>,
-    /// Priority tier; `None` before the request is admitted.
-    tier: Option<u8>,
+    /// Urgency that servers are told; `None` before the request is admitted.
+    urgency: Option<u8>,
     config: u64,
     proof_age: Option<Duration>,
     latency_target: Duration,
@@ -70,9 +70,9 @@
         self.fields.borrow_mut().organisation = Some(organisation.clone());
     }
 
-    /// Records the priority tier, which every send states.
-    pub fn set_tier(&self, tier: u8) {
-        self.fields.borrow_mut().tier = Some(tier);
+    /// Records the urgency, which every send states.
+    pub fn set_urgency(&self, urgency: u8) {
+        self.fields.borrow_mut().urgency = Some(urgency);
     }
 
     /// Records an attempt and logs the figures behind the choice of the server at once, so that
@@ -85,7 +85,7 @@
             target: SEND_LOG_TARGET,
             id = self.id,
             %server,
-            tier = fields.tier,
+            urgency = fields.urgency,
             after_ms,
             cost_ms = cost_ms.round(),
             load = occupancy,
@@ -133,7 +133,7 @@
             target: SEND_LOG_TARGET,
             id = self.id,
             from,
-            tier = fields.tier,
+            urgency = fields.urgency,
             outcome,
             refused_by = refused_by.map(BackendServerName::as_str),
             "migration ended"
@@ -142,8 +142,8 @@
 
     /// Records that a stream broke off after it had begun.
     pub fn stream_interrupted(&self) {
-        let tier = self.fields.borrow().tier.map_or_else(|| "none".to_owned(), |t| t.to_string());
-        self.cx.metrics.add(Counter::InterruptedStreams, &tier, 1);
+        let urgency = self.fields.borrow().urgency.map_or("none".to_owned(), |u| u.to_string());
+        self.cx.metrics.add(Counter::InterruptedStreams, &urgency, 1);
     }
 
     /// Records why the request is not sent, or not retried.
@@ -176,7 +176,7 @@
             id = self.id,
             route,
             organisation = fields.organisation.as_ref().map_or("none", OrganisationName::as_str),
-            tier = fields.tier,
+            urgency = fields.urgency,
             config = fields.config,
             proof_age_ms = fields.proof_age.map(|age| age.as_millis() as u64),
             sends = fields.sends.join("; "),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -33,7 +33,7 @@
     Quarantined,
     /// Attempts to migrate a run to another engine, by outcome.
     Migrations,
-    /// Streams that broke off after they had begun, by tier.
+    /// Streams that broke off after they had begun, by urgency.
     InterruptedStreams,
     /// Calls to the platform, by kind.
     PlatformCalls,
@@ -69,7 +69,7 @@
             Self::Retried => ("retried_requests_total", "reason"),
             Self::Quarantined => ("quarantined_requests_total", "class"),
             Self::Migrations => ("migrations_total", "outcome"),
-            Self::InterruptedStreams => ("interrupted_streams_total", "tier"),
+            Self::InterruptedStreams => ("interrupted_streams_total", "urgency"),
             Self::PlatformCalls => ("platform_calls_total", "kind"),
             Self::PlatformFailures => ("platform_failures_total", "kind"),
             Self::UsageWindows => ("usage_windows_total", "outcome"),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -87,8 +87,8 @@
     pub organisation: Option<&'a OrganisationName>,
     /// Time until the deadline of the request.
     pub time_left: Duration,
-    /// Tier of the request; 0 is the most urgent.
-    pub tier: u8,
+    /// Urgency of the request; 0 is the most urgent.
+    pub urgency: u8,
     /// Last event that was forwarded to the caller, if a stream is resumed.
     pub last_event: Option<u64>,
     /// KV cache of the run so far, if the run was migrated.
@@ -160,7 +160,7 @@
 pub fn write_send_headers(headers: &mut HeaderMap, head: &SendHead<'_>) {
     set_header(headers, EXPECTED_SERVER, head.server.as_str());
     set_header(headers, DEADLINE, &head.time_left.as_millis().max(1).to_string());
-    set_header(headers, URGENCY, &head.tier.min(LOWEST_URGENCY).to_string());
+    set_header(headers, URGENCY, &head.urgency.min(LOWEST_URGENCY).to_string());
     if let Some(organisation) = head.organisation {
         set_header(headers, ORGANISATION, organisation.as_str());
     }
--- a/src/routing/catalog.rs
+++ b/src/routing/catalog.rs
@@ -1,10 +1,11 @@
 //! The operator's configuration of routes, services and organisations, with lookups.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::names::{OrganisationName, RouteName};
+use crate::routing::urgency::UrgencyScale;
 
 crate::name! {
     /// Name of a service: a group of backend servers that run the same program.
@@ -130,7 +131,7 @@
 pub struct Organisation {
     /// Name of the organisation.
     pub name: OrganisationName,
-    /// Priority of its requests, which overrides that of the route.
+    /// Priority of its requests, which goes before that of the route; 0 is the highest.
     pub tier: Option<u8>,
 }
 
@@ -162,6 +163,7 @@
     services: HashMap<ServiceName, Arc<Service>>,
     keys: HashMap<Arc<str>, Arc<Organisation>>,
     needs_keys: bool,
+    urgencies: UrgencyScale,
 }
 
 /// The parts that a [`Catalog`] is built from.
@@ -182,6 +184,7 @@
 impl Catalog {
     /// Builds the lookups of a configuration version.
     pub fn new(parts: CatalogParts) -> Self {
+        let urgencies = urgency_scale(&parts);
         let mut routes: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in parts.routes {
             routes.entry(route.host.clone()).or_default().push(Arc::new(route));
@@ -196,7 +199,14 @@
             keys.extend(api_keys.into_iter().map(|key| (key, organisation.clone())));
         }
         let services = parts.services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        Self { version: parts.version, limits: parts.limits, routes, services, keys, needs_keys }
+        let CatalogParts { version, limits, .. } = parts;
+        Self { version, limits, routes, services, keys, needs_keys, urgencies }
+    }
+
+    /// Returns the urgency that backend servers are told for a request.
+    pub fn urgency(&self, route: &Route, organisation: Option<&Organisation>) -> u8 {
+        let priority = organisation.and_then(|organisation| organisation.tier);
+        self.urgencies.urgency(priority, route.tier)
     }
 
     /// Returns the route of the host with the longest prefix of the path. `host` may contain a port
@@ -226,3 +236,11 @@
         self.services.values()
     }
 }
+
+fn urgency_scale(parts: &CatalogParts) -> UrgencyScale {
+    let routes: BTreeSet<u8> = parts.routes.iter().map(|route| route.tier).collect();
+    let organisations = parts.organisations.iter().flatten();
+    let mut priorities: BTreeSet<Option<u8>> = organisations.map(|(o, _)| o.tier).collect();
+    priorities.insert(None);
+    UrgencyScale::new(&routes, &priorities)
+}
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -19,4 +19,5 @@
 pub mod rank;
 pub mod scaling;
 pub mod tried;
+pub mod urgency;
 pub mod windows;
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -12,5 +12,6 @@
 mod scaling;
 mod support;
 mod tried;
+mod urgency;
 mod usage;
 mod wire;
--- a/tests/routing/wire.rs
+++ b/tests/routing/wire.rs
@@ -109,7 +109,7 @@
             server: &server,
             organisation: Some(&organisation),
             time_left: Duration::from_millis(1_234),
-            tier: 12,
+            urgency: 12,
             last_event: Some(4),
             kv_cache: None,
         },
