--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -102,7 +102,7 @@
     }
     let urgency = catalog.urgency(&route, organisation.as_deref());
     record.set_urgency(urgency);
-    cx.record_request(&service, &head.demand);
+    cx.record_request(&service, &head.demand, urgency);
     Ok(AdmittedRequest {
         service,
         organisation,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -23,7 +23,7 @@
 use crate::routing::members::Members;
 use crate::routing::migration::MigrationAttempts;
 use crate::routing::mirror::Mirror;
-use crate::routing::mix::WorkloadMix;
+use crate::routing::mix::{FleetSize, WorkloadMix};
 use crate::routing::proof::FreshnessProof;
 use crate::routing::tried::SendHistory;
 use crate::routing::windows::{StepFilteredClock, Tallies};
@@ -227,7 +227,7 @@
     }
 
     /// Records a request for the retry budget and the work mix of its service.
-    pub fn record_request(&self, service: &Service, demand: &Demand) {
+    pub fn record_request(&self, service: &Service, demand: &Demand, urgency: u8) {
         let now = Instant::now();
         let cfg = self.cfg();
         let mut budgets = self.budgets.borrow_mut();
@@ -235,7 +235,8 @@
         let slots = self.fleet.borrow().usable(&service.name).next().map(|s| s.entry.slots);
         if let Some(slots) = slots.filter(|_| service.is_engine) {
             let mut mixes = self.workload_mixes.borrow_mut();
-            mixes.entry(service.name.clone()).or_default().record(now, &cfg.choice, demand, slots);
+            let mix = mixes.entry(service.name.clone()).or_default();
+            mix.record(now, &cfg.choice, demand, urgency, slots);
         }
     }
 
@@ -246,9 +247,15 @@
 
     /// Returns the settings of the server choice, with the engines split between short and long
     /// prompts according to the recent work mix.
-    fn choice_settings(&self, service: &Service, cfg: &GatewaySettings) -> ChoiceSettings {
+    fn choice_settings(
+        &self,
+        service: &Service,
+        cfg: &GatewaySettings,
+        engines: usize,
+    ) -> ChoiceSettings {
         let mixes = self.workload_mixes.borrow();
-        let share = mixes.get(&service.name).map(|mix| mix.short_pool_share(&cfg.choice));
+        let size = FleetSize { engines, instances: self.instance_count() };
+        let share = mixes.get(&service.name).map(|mix| mix.short_pool_share(&cfg.choice, size));
         ChoiceSettings {
             short_pool_share: share.unwrap_or(cfg.choice.short_pool_share),
             ..cfg.choice
@@ -294,7 +301,7 @@
         let fleet = self.fleet.borrow();
         let loads = self.loads.borrow();
         let candidates = self.candidates(now, service, history, &fleet, &loads);
-        let settings = self.choice_settings(service, &cfg);
+        let settings = self.choice_settings(service, &cfg, candidates.len());
         let choice = choose(now, &settings, &cfg.data_centre, demand, &candidates, &loads)?;
         let server = fleet.get(&choice.server)?.clone();
         Some((choice, server))
@@ -313,7 +320,7 @@
         let fleet = self.fleet.borrow();
         let loads = self.loads.borrow();
         let engines = self.candidates(now, service, history, &fleet, &loads);
-        let settings = self.choice_settings(service, &cfg);
+        let settings = self.choice_settings(service, &cfg, engines.len());
         let choice =
             attempts.choose_engine(now, &settings, &cfg.data_centre, demand, &engines, &loads)?;
         let server = fleet.get(&choice.server)?.clone();
--- a/tests/routing/choice.rs
+++ b/tests/routing/choice.rs
@@ -7,7 +7,7 @@
 use laburnumvalve::routing::choose::{Choice, ChoiceSettings, Demand, choose};
 use laburnumvalve::routing::fleet::Server;
 use laburnumvalve::routing::load::{Loads, ReportedLoad, Verdict};
-use laburnumvalve::routing::mix::WorkloadMix;
+use laburnumvalve::routing::mix::{FleetSize, WorkloadMix};
 use rstest::rstest;
 
 use crate::support::{entry, fleet, long_prompt, short_prompt, usable};
@@ -187,10 +187,59 @@
 
     for second in 0..20 {
         let now = start + Duration::from_secs(second);
-        (0..long).for_each(|subject| mix.record(now, &cfg, &long_prompt(subject), 24));
-        (0..short).for_each(|subject| mix.record(now, &cfg, &short_prompt(subject), 24));
+        (0..long).for_each(|subject| mix.record(now, &cfg, &long_prompt(subject), 1, 24));
+        (0..short).for_each(|subject| mix.record(now, &cfg, &short_prompt(subject), 1, 24));
     }
 
-    let share = mix.short_pool_share(&cfg);
+    let share = mix.short_pool_share(&cfg, FleetSize { engines: 70, instances: 62 });
     assert!((least..=most).contains(&share), "{share}");
 }
+
+/// Urgencies of short and long prompts, and the expected range of the short-prompt pool's share.
+///
+/// Guards against urgent short prompts that wait in a burst for the few engines of their pool, while
+/// less urgent long prompts start at once on the others.
+#[rstest]
+#[case::short_prompts_are_urgent(0, 1, 0.75, 0.85)]
+#[case::all_are_equal(1, 1, 0.15, 0.45)]
+#[case::long_prompts_are_urgent(1, 0, 0.15, 0.45)]
+fn urgent_short_prompts_get_the_engines_that_they_need(
+    #[case] short_urgency: u8,
+    #[case] long_urgency: u8,
+    #[case] least: f64,
+    #[case] most: f64,
+) {
+    let start = Instant::now();
+    let cfg = ChoiceSettings::default();
+    let mut mix = WorkloadMix::default();
+
+    for tenth in 0..20 {
+        let now = start + Duration::from_millis(100 * tenth);
+        mix.record(now, &cfg, &long_prompt(tenth), long_urgency, 24);
+        mix.record(now, &cfg, &short_prompt(tenth), short_urgency, 24);
+    }
+
+    let share = mix.short_pool_share(&cfg, FleetSize { engines: 70, instances: 62 });
+    assert!((least..=most).contains(&share), "{share}");
+}
+
+/// Guards against a burst of urgent requests that is noticed only after its requests have waited.
+#[test]
+fn pool_of_urgent_short_prompts_grows_within_two_seconds_of_a_burst() {
+    let start = Instant::now();
+    let cfg = ChoiceSettings::default();
+    let size = FleetSize { engines: 140, instances: 62 };
+    let mut mix = WorkloadMix::default();
+    let mut record = |ms, shorts: u64| {
+        let now = start + Duration::from_millis(ms);
+        mix.record(now, &cfg, &long_prompt(ms), 1, 24);
+        (0..shorts).for_each(|n| mix.record(now, &cfg, &short_prompt(ms + n), 0, 24));
+        mix.short_pool_share(&cfg, size)
+    };
+
+    let before = (0..50).map(|step| record(200 * step, 1)).last().expect("there are requests");
+    let after = (50..60).map(|step| record(200 * step, 4)).last().expect("there are requests");
+
+    assert!(before < 0.46, "{before}");
+    assert!(after > 0.7, "{after}");
+}
