--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,19 +5,23 @@
 
 use bytes::Bytes;
 use reqwest::{Method, StatusCode};
-use serde::de::{DeserializeOwned, IgnoredAny};
-use serde::{Deserialize, Deserializer, Serialize};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use serde_json::{Value, json};
 
 use super::headers::base_url;
-use super::objects::{Object, PlatformError, check_status, from_value, send_request};
+use super::objects::{Object, PlatformError, check_status, send_request};
 
 /// Timeout of a call, after which its outcome is unknown.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time that a watch may take beyond its requested wait before it times out.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
+/// Maximum nesting of a value that is passed on to peers, in levels; the JSON parser of the receiver
+/// allows 128 for a whole message.
+const MAX_VALUE_DEPTH: usize = 64;
+
 choice! {
     /// Collections of objects in the store.
     pub enum Collection {
@@ -98,12 +102,11 @@
     HistoryExpired,
 }
 
+/// An object as stored. Its value is decoded by itself, as entries are also written by others.
 #[derive(Deserialize)]
-#[serde(bound(deserialize = "T: Deserialize<'de> + Default"))]
-struct WireObject<T = Value> {
+struct WireObject {
     metadata: WireMetadata,
-    #[serde(default)]
-    spec: T,
+    spec: Option<Box<RawValue>>,
 }
 
 #[derive(Deserialize)]
@@ -114,9 +117,9 @@
 }
 
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case", bound(deserialize = "T: Deserialize<'de> + Default"))]
-struct WireList<T = Value> {
-    items: Vec<WireObject<T>>,
+#[serde(rename_all = "kebab-case")]
+struct WireList {
+    items: Vec<Box<RawValue>>,
     #[serde(default)]
     has_more: bool,
     /// Revision of the store at which the list was read.
@@ -125,7 +128,7 @@
 
 #[derive(Deserialize)]
 struct WireEvents {
-    events: Vec<WireEvent>,
+    events: Vec<Box<RawValue>>,
     at: u64,
 }
 
@@ -136,12 +139,55 @@
     deleted: bool,
 }
 
-impl From<WireObject> for StoredObject {
-    fn from(wire: WireObject) -> Self {
-        Self { name: wire.metadata.name, revision: wire.metadata.revision, value: wire.spec }
+impl WireObject {
+    /// Decodes the value.
+    ///
+    /// # Errors
+    /// Returns the reason why there is none of this type.
+    fn decode_value<T: DeserializeOwned>(&self) -> Result<T, String> {
+        let text = self.spec.as_ref().ok_or("the object has no value")?;
+        serde_json::from_str(text.get()).map_err(|error| error.to_string())
+    }
+
+    /// Converts a deleted object.
+    fn without_value(self) -> StoredObject {
+        let WireMetadata { name, revision } = self.metadata;
+        StoredObject { name, revision, value: Value::Null }
+    }
+
+    /// Converts the object; a value that can't be read becomes null, which no reader accepts.
+    fn into_stored(self, collection: Collection) -> StoredObject {
+        let value = self.decode_value().and_then(check_depth).unwrap_or_else(|error| {
+            log_unreadable(collection, &self.metadata.name, &error);
+            Value::Null
+        });
+        StoredObject { name: self.metadata.name, revision: self.metadata.revision, value }
+    }
+}
+
+/// Checks that a value can be sent to peers, whose messages nest it a few levels deeper.
+fn check_depth(value: Value) -> Result<Value, String> {
+    if is_nested_deeper(&value, MAX_VALUE_DEPTH) {
+        return Err(format!("the value is nested more than {MAX_VALUE_DEPTH} levels deep"));
+    }
+    Ok(value)
+}
+
+fn is_nested_deeper(value: &Value, levels: usize) -> bool {
+    match (value, levels.checked_sub(1)) {
+        (Value::Array(_) | Value::Object(_), None) => true,
+        (Value::Array(items), Some(left)) => items.iter().any(|item| is_nested_deeper(item, left)),
+        (Value::Object(members), Some(left)) => {
+            members.values().any(|member| is_nested_deeper(member, left))
+        }
+        _ => false,
     }
 }
 
+fn log_unreadable(collection: Collection, name: &str, error: &str) {
+    tracing::warn!(of = collection.label(), name, error, "stored object can't be read");
+}
+
 /// Client of the store; clones share its connections.
 #[derive(Debug, Clone)]
 pub struct Store {
@@ -169,8 +215,8 @@
     ) -> Result<(Vec<StoredObject>, u64), PlatformError> {
         let mut found: Vec<StoredObject> = Vec::new();
         let at = self
-            .for_each_page::<Value>(collection, |items| {
-                found.extend(items.into_iter().map(StoredObject::from));
+            .for_each_page(collection, |items| {
+                found.extend(items.into_iter().map(|item| item.into_stored(collection)));
             })
             .await?;
         Ok((found, at))
@@ -188,33 +234,41 @@
         collection: Collection,
         mut visit: impl FnMut(&str, Result<T, PlatformError>),
     ) -> Result<u64, PlatformError> {
-        self.for_each_page::<MaybeDecoded<T>>(collection, |items| {
+        self.for_each_page(collection, |items| {
             for item in items {
-                visit(&item.metadata.name, item.spec.0.map_err(PlatformError::Malformed));
+                let value = item.decode_value().map_err(PlatformError::Malformed);
+                visit(&item.metadata.name, value);
             }
         })
         .await
     }
 
-    async fn for_each_page<T: DeserializeOwned + Default>(
+    /// Reads a collection page by page. Objects without a readable name are left out.
+    async fn for_each_page(
         &self,
         collection: Collection,
-        mut visit: impl FnMut(Vec<WireObject<T>>),
+        mut visit: impl FnMut(Vec<WireObject>),
     ) -> Result<u64, PlatformError> {
         let mut after: Option<String> = None;
         let mut first_at = None;
         loop {
-            let query = after.map(|name| format!("?after={name}")).unwrap_or_default();
+            let query = after.as_ref().map(|name| format!("?after={name}")).unwrap_or_default();
             let url = format!("{}/{}{query}", self.base, collection.as_str());
-            let page: WireList<T> = self.call(Method::GET, &url, None).await?;
+            let page: WireList = self.call(Method::GET, &url, None).await?;
             // Changes while later pages are read may be missing from earlier pages, so the watch
             // must start from the revision of the first page.
             let at = *first_at.get_or_insert(page.at);
-            after = page.items.last().map(|last| last.metadata.name.clone());
-            visit(page.items);
-            if !page.has_more || after.is_none() {
+            let items: Vec<WireObject> = decode_each(collection, &page.items);
+            let last = items.last().map(|last| last.metadata.name.clone());
+            visit(items);
+            if !page.has_more {
                 return Ok(at);
             }
+            if last.is_none() || last == after {
+                let why = "a page has no readable object from which the list could continue";
+                return Err(PlatformError::Malformed(why.to_owned()));
+            }
+            after = last;
         }
     }
 
@@ -238,10 +292,14 @@
         }
         check_status(status)?;
         let events: WireEvents = decode(&body)?;
-        let changes = events
-            .events
-            .into_iter()
-            .map(|event| Change { object: event.object.into(), is_deleted: event.deleted });
+        let changes = decode_each(collection, &events.events).into_iter();
+        let changes = changes.map(|event: WireEvent| Change {
+            is_deleted: event.deleted,
+            object: match event.deleted {
+                true => event.object.without_value(),
+                false => event.object.into_stored(collection),
+            },
+        });
         Ok(WatchResult::Changes(changes.collect(), events.at))
     }
 
@@ -255,8 +313,9 @@
         name: &str,
     ) -> Result<Object<T>, PlatformError> {
         let wire: WireObject = self.call(Method::GET, &self.url(collection, name), None).await?;
+        let spec = wire.decode_value().map_err(PlatformError::Malformed)?;
         let version = wire.metadata.revision.to_string();
-        Ok(Object { name: wire.metadata.name, version, spec: from_value(wire.spec)? })
+        Ok(Object { name: wire.metadata.name, version, spec })
     }
 
     /// Creates an object if its name is unused, and returns its version.
@@ -336,26 +395,25 @@
     }
 }
 
-/// A value that may be of another type than expected, as entries are also written by others.
-struct MaybeDecoded<T>(Result<T, String>);
-
-impl<T> Default for MaybeDecoded<T> {
-    fn default() -> Self {
-        Self(Err("the object has no value".to_owned()))
-    }
-}
-
-impl<'de, T: DeserializeOwned> Deserialize<'de> for MaybeDecoded<T> {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = Box::<RawValue>::deserialize(deserializer)?;
-        Ok(Self(serde_json::from_str(text.get()).map_err(|error| error.to_string())))
-    }
+/// Decodes each of the parts of a response by itself, and leaves out those that can't be read.
+fn decode_each<T: DeserializeOwned>(collection: Collection, parts: &[Box<RawValue>]) -> Vec<T> {
+    let decode = |part: &Box<RawValue>| match serde_json::from_str(part.get()) {
+        Ok(decoded) => Some(decoded),
+        Err(error) => {
+            log_unreadable(collection, "unknown", &error.to_string());
+            None
+        }
+    };
+    parts.iter().filter_map(decode).collect()
 }
 
+/// Decodes a response. Bytes that are no UTF-8 are replaced, so that they spoil only the object that
+/// holds them.
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
-    serde_json::from_slice(body).map_err(|error| PlatformError::Malformed(error.to_string()))
+    let text = String::from_utf8_lossy(body);
+    serde_json::from_str(&text).map_err(|error| PlatformError::Malformed(error.to_string()))
 }
 
-fn version(written: WireObject<IgnoredAny>) -> String {
+fn version(written: WireObject) -> String {
     written.metadata.revision.to_string()
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gateway processes with stand-ins for the platform's store and the backend servers.
 
 mod drain;
+mod entries;
 mod logs;
 mod migration;
 mod notices;
--- a/tests/gateway/support/store.rs
+++ b/tests/gateway/support/store.rs
@@ -18,6 +18,9 @@
 /// Size of the values in a page from which no further object is added.
 const MAX_PAGE_BYTES: usize = 1 << 20;
 
+/// Prefix of the strings that stand for values which are sent as they are.
+const RAW_PREFIX: &str = "raw-";
+
 #[derive(Default)]
 struct State {
     revision: u64,
@@ -120,6 +123,11 @@
         self.change(kind, name, |_| Ok(Some(value))).expect("the change has no condition")
     }
 
+    /// Writes an object whose value is the given JSON text, which may be one that can't be decoded.
+    pub fn put_raw(&self, kind: &str, name: &str, text: &str) {
+        self.put(kind, name, Value::String(format!("{RAW_PREFIX}{}", hex::encode(text))));
+    }
+
     /// Returns whether an object exists.
     pub fn has(&self, kind: &str, name: &str) -> bool {
         self.lock().objects.contains_key(&(kind.to_owned(), name.to_owned()))
@@ -262,7 +270,21 @@
 }
 
 fn reply(body: &Value) -> Response<Body> {
-    Response::new(full(body.to_string()))
+    Response::new(full(insert_raw_texts(&body.to_string())))
+}
+
+/// Replaces the strings that stand for the values of [`StandInStore::put_raw`] by their text.
+fn insert_raw_texts(body: &str) -> String {
+    let start = format!("\"{RAW_PREFIX}");
+    let mut parts = body.split(&start);
+    let mut text = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let (raw, rest) = part.split_once('"').expect("the string ends");
+        let raw = hex::decode(raw).expect("the string was written by `put_raw`");
+        text.push_str(&String::from_utf8_lossy(&raw));
+        text.push_str(rest);
+    }
+    text
 }
 
 fn status(status: StatusCode) -> Response<Body> {
