--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -313,11 +313,11 @@
     connection: Connection,
     mut run: Run,
 ) -> SendOutcome {
-    if let Some(load) = headers::parse_reported_load(rsp.headers()) {
-        cx.loads.borrow_mut().get_or_insert(&run.server).record_report(Instant::now(), load);
-    }
     let kind = headers::classify_response(&rsp, request.head.attempt.as_ref());
     if !matches!(kind, ResponseKind::Misdirected | ResponseKind::Invalid) {
+        if let Some(load) = headers::parse_reported_load(rsp.headers()) {
+            cx.loads.borrow_mut().get_or_insert(&run.server).record_report(Instant::now(), load);
+        }
         run.record_notice(headers::parse_notice(&rsp));
     }
     match kind {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -210,20 +210,21 @@
 pub fn classify_response<B>(rsp: &Response<B>, attempt: Option<&HeaderValue>) -> ResponseKind {
     let headers = rsp.headers();
     let status = rsp.status();
-    let echoed = headers.get(&ATTEMPT_ID);
+    // A faulty server may send an earlier response again, so nothing of a response counts, the
+    // refusals included, before its ID is the one of this request.
+    if headers.get(&ATTEMPT_ID) != attempt {
+        return ResponseKind::Invalid;
+    }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return ResponseKind::Misdirected;
     }
-    if echoed.is_some() && attempt.is_some() && echoed != attempt {
-        return ResponseKind::Invalid;
-    }
     if headers.contains_key(&NOT_EXECUTED) && !status.is_success() {
         return ResponseKind::NotRun;
     }
     if headers.contains_key("content-encoding") {
         return ResponseKind::Invalid;
     }
-    if status.is_success() && (!headers.contains_key(&SEAL) || echoed != attempt) {
+    if status.is_success() && !headers.contains_key(&SEAL) {
         return ResponseKind::Invalid;
     }
     match status {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,4 +12,5 @@
 mod size;
 mod soak;
 mod support;
+mod surplus;
 mod trouble;
