--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -23,12 +23,13 @@
     buf: BytesMut,
     /// Events up to this ID are dropped, as the caller already received them.
     delivered_through: Option<u64>,
+    has_foreign_bytes: bool,
 }
 
 impl EventSplitter {
     /// Creates a splitter that drops events up to an ID.
     pub fn after(delivered_through: Option<u64>) -> Self {
-        Self { buf: BytesMut::new(), delivered_through }
+        Self { delivered_through, ..Self::default() }
     }
 
     /// Appends received bytes.
@@ -36,10 +37,15 @@
         self.buf.extend_from_slice(bytes);
     }
 
-    /// Takes all complete events from the buffer.
+    /// Takes all complete events from the buffer, up to bytes that are no event.
     pub fn take_complete(&mut self) -> Option<EventBatch> {
+        if self.has_foreign_bytes {
+            return None;
+        }
         let end = end_of_last_event(&self.buf)?;
-        let bytes = self.buf.split_to(end).freeze();
+        let own = length_of_own_events(&self.buf[..end]);
+        self.has_foreign_bytes = own < end;
+        let bytes = self.buf.split_to(own).freeze();
         let events = self.drop_delivered(bytes);
         (!events.bytes.is_empty()).then_some(events)
     }
@@ -50,6 +56,12 @@
         self.buf.len() > MAX_EVENT_BYTES && end_of_last_event(&self.buf).is_none()
     }
 
+    /// Returns whether the last complete block of lines is no event, such as the head or the text of
+    /// an error. Nothing after it belongs to the stream.
+    pub fn has_foreign_bytes(&self) -> bool {
+        self.has_foreign_bytes
+    }
+
     /// Returns whether the buffer holds a part of an event.
     pub fn has_incomplete_event(&self) -> bool {
         self.buf.iter().any(|byte| !b"\r\n".contains(byte))
@@ -79,6 +91,30 @@
     }
 }
 
+/// Returns the length of the events before the first block of lines that is none.
+fn length_of_own_events(blocks: &[u8]) -> usize {
+    let (mut own, mut end) = (0, 0);
+    for line in blocks.split_inclusive(|byte| *byte == b'\n') {
+        end += line.len();
+        let text = line.strip_suffix(b"\n").unwrap_or(line);
+        let text = text.strip_suffix(b"\r").unwrap_or(text);
+        if !is_event_line(text) {
+            break;
+        }
+        if text.is_empty() {
+            own = end;
+        }
+    }
+    own
+}
+
+/// Returns whether a line is empty, a comment or a field of an event, whose name is a single word.
+fn is_event_line(line: &[u8]) -> bool {
+    let line = line.strip_prefix(b"\xEF\xBB\xBF").unwrap_or(line);
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    name.iter().all(|byte| byte.is_ascii_alphanumeric() || b"-_".contains(byte))
+}
+
 fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
     let last = |end: &[u8]| bytes.windows(end.len()).rposition(|found| found == end);
     let ends = EVENT_ENDS.iter().filter_map(|end| Some(last(end)? + end.len()));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,7 +11,6 @@
 pub mod ingress;
 pub mod links;
 pub mod listen;
-pub mod migration;
 pub mod peers;
 pub mod pulls;
 pub mod record;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay/mod.rs
@@ -1,29 +1,28 @@
 //! Relays event streams to callers in complete events. Streams of resumable routes are resumed at
 //! another backend server after a failure; runs of engines are migrated when the engine shuts down.
 
-use std::net::SocketAddr;
+mod migration;
+
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::stream::{self, StreamExt};
-use http_body_util::{BodyExt, Limited, StreamBody};
-use hyper::Response;
+use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
 use rand::RngExt;
 
-use super::attempt::{AdmittedRequest, BackendResponse, ResumePoint, Run, SendOutcome, send};
-use super::body::{ResponseBody, TruncatedBody};
-use super::events::{EventSplitter, MAX_EVENT_BYTES};
-use super::handle::recheck_key;
-use super::links::ConnectionError;
-use super::migration::{self, MigrationError};
-use super::record::RequestRecord;
-use super::shared::InstanceState;
+use crate::gateway::attempt::{
+    AdmittedRequest, BackendResponse, ResumePoint, Run, SendOutcome, send,
+};
+use crate::gateway::body::{ResponseBody, TruncatedBody};
+use crate::gateway::events::{EventSplitter, MAX_EVENT_BYTES};
+use crate::gateway::handle::recheck_key;
+use crate::gateway::record::RequestRecord;
+use crate::gateway::shared::InstanceState;
 use crate::metrics::{Counter, DurationMetric};
-use crate::names::BackendServerName;
-use crate::platform::engine::{self, CopyError, MigratedKvCache};
 use crate::platform::headers;
 use crate::routing::catalog::RequestKind;
 use crate::routing::load::Verdict;
@@ -45,10 +44,6 @@
 /// Time after the deadline for which events that arrive are still forwarded, as the engine ends the
 /// stream at the deadline by its own clock.
 const DEADLINE_OVERRUN: Duration = Duration::from_millis(150);
-/// Maximum size of the response to a KV cache copy.
-const MAX_MIGRATION_RESPONSE_BYTES: usize = 64 << 10;
-/// Timeout of each step of a migration: a KV cache copy, or reading the rest of the old stream.
-const MIGRATION_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// An event stream that is being relayed.
 struct StreamRelay {
@@ -57,7 +52,9 @@
     record: Rc<RequestRecord>,
     /// Current run and its unread body; `None` between runs and after the end.
     current_run: Option<(Incoming, Run)>,
-    /// Whether the body of the first run has neither a length nor chunks.
+    /// Status and content type that the caller received.
+    head: (StatusCode, Option<HeaderValue>),
+    /// Whether the body of the current run has neither a length nor chunks.
     ends_with_connection: bool,
     splitter: EventSplitter,
     last_event: Option<u64>,
@@ -107,6 +104,7 @@
         request: request.clone(),
         record: record.clone(),
         current_run: Some((body, run)),
+        head: (parts.status, parts.headers.get(CONTENT_TYPE).cloned()),
         ends_with_connection,
         splitter: EventSplitter::after(request.head.last_event),
         last_event: request.head.last_event,
@@ -242,95 +240,27 @@
         })
     }
 
-    /// Returns whether the backend server shuts down and an attempt to migrate the run is due.
-    fn should_migrate(&self) -> bool {
-        let Some((_, run)) = self.current_run.as_ref() else { return false };
-        let draining_since = self.cx.fleet.borrow().draining_since(&run.server);
-        self.migrations.is_due(Instant::now(), draining_since)
-    }
-
-    async fn migrate_and_record(&mut self) {
-        let now = Instant::now();
-        self.migrations.record_start(now);
-        let error = match self.migrate().await {
-            Ok(()) => {
-                self.migrations.record_success();
-                self.record.migration_ended(migration::COMPLETED, None);
-                return;
-            }
-            Err(error) => error,
-        };
-        tracing::debug!(%error, "run not migrated");
-        self.record.migration_ended(error.label(), error.refused_by());
-        if let Some(engine) = error.refused_by() {
-            self.cx.loads.borrow_mut().get_or_insert(engine).record_refused_copy(now);
-            self.migrations.record_refusal(engine.clone());
-        } else if !error.may_be_retried() {
-            self.migrations.exclude();
-        }
-    }
-
-    /// Migrates the run with its KV cache to another engine and continues the stream there.
+    /// Continues the stream with a response of another backend server.
     ///
     /// # Errors
-    /// Describes why the migration failed; the run continues at its engine or has ended.
-    async fn migrate(&mut self) -> Result<(), MigrationError> {
-        let Some((_, run)) = &self.current_run else { return Err(MigrationError::RunEnded) };
-        let (from, address) = (run.server.clone(), run.address);
-        let service = &self.request.service;
-        let mut excluded = self.history.clone();
-        excluded.record_send(from.clone());
-        let demand = &self.request.head.demand;
-        let alternative =
-            self.cx.choose_for_migration(service, demand, &excluded, &self.migrations);
-        let (choice, server) = alternative.ok_or(MigrationError::NoEngine)?;
-        self.check_key().map_err(|_| MigrationError::KeyRejected)?;
-        if !self.cx.has_retry(&service.name) {
-            return Err(MigrationError::BudgetExhausted);
+    /// If the response is no event stream like the one that the caller receives, such as an error;
+    /// its run has ended then.
+    fn continue_with(&mut self, reply: BackendResponse) -> Result<(), String> {
+        let BackendResponse { rsp, run } = reply;
+        let (status, content_type) = &self.head;
+        if rsp.status() != *status {
+            run.finish_without_body();
+            return Err(format!("status {}", rsp.status().as_u16()));
         }
-        // Pre-copy: most of the cache is copied while the run continues, so that the run has to
-        // stop only for the remainder.
-        let copy_error = |error| MigrationError::Copy(choice.server.clone(), error);
-        let target = server.entry.address;
-        self.copy_kv_cache(&from, address, target, false).await.map_err(copy_error)?;
-        // A refused copy sends no request, so it takes nothing from the budget.
-        if !self.cx.take_retry(&service.name) {
-            return Err(MigrationError::BudgetExhausted);
-        }
-        let kv_cache =
-            self.copy_kv_cache(&from, address, target, true).await.map_err(copy_error)?;
-        let rest = tokio::time::timeout(MIGRATION_CALL_TIMEOUT, self.drain_current_run()).await;
-        if rest.is_err() {
-            self.record.send_ended("the stream of the migrated run did not end in time");
-        }
-        self.current_run = None;
-        self.pending = self.splitter.take_complete().map(|events| {
-            self.last_event = events.last_id.or(self.last_event);
-            events.bytes
-        });
-        self.record.send_ended("moved");
-        self.record.send_started(&choice);
-        self.history.record_send(choice.server.clone());
-        let last_event = self.last_event;
-        let resume = ResumePoint { last_event, kv_cache: Some(&kv_cache) };
-        let wait = self.request.time_left();
-        match send(&self.cx, &self.request, &choice, &server, wait, resume).await {
-            SendOutcome::Response(reply) if reply.rsp.status().is_success() => {
-                self.splitter = EventSplitter::after(last_event);
-                self.current_run = Some((reply.rsp.into_body(), reply.run));
-                Ok(())
-            }
-            SendOutcome::Response(reply) => {
-                let status = reply.rsp.status().as_u16();
-                Err(MigrationError::NotContinued(format!("status {status}")))
-            }
-            SendOutcome::NotRun | SendOutcome::Misdirected => {
-                Err(MigrationError::NotContinued("not accepted".to_owned()))
-            }
-            SendOutcome::NotSent(why) | SendOutcome::Unknown(why) => {
-                Err(MigrationError::NotContinued(why))
-            }
+        let found = rsp.headers().get(CONTENT_TYPE);
+        if found.is_some_and(|found| Some(found) != content_type.as_ref()) {
+            run.finish_without_body();
+            return Err(format!("content type {found:?} instead of {content_type:?}"));
         }
+        self.ends_with_connection = headers::ends_with_connection(rsp.headers());
+        self.splitter = EventSplitter::after(self.last_event);
+        self.current_run = Some((rsp.into_body(), run));
+        Ok(())
     }
 
     fn check_key(&self) -> Result<(), String> {
@@ -338,57 +268,6 @@
             .map_err(|_| "the key was withdrawn or can't be verified any more".to_owned())
     }
 
-    async fn copy_kv_cache(
-        &self,
-        source: &BackendServerName,
-        source_address: SocketAddr,
-        target_address: SocketAddr,
-        stops_run: bool,
-    ) -> Result<MigratedKvCache, CopyError> {
-        let attempt = self.request.head.attempt.as_ref().ok_or(CopyError::RunEnded)?;
-        let req = engine::migration_request(source_address, attempt, target_address, stops_run)
-            .map_err(|error| CopyError::Failed(error.to_string()))?;
-        let call = async {
-            let mut connection =
-                self.cx.pool.acquire(source, source_address, MIGRATION_CALL_TIMEOUT).await?;
-            let (parts, body) = connection.send(req).await?.into_parts();
-            let body = Limited::new(body, MAX_MIGRATION_RESPONSE_BYTES)
-                .collect()
-                .await
-                .map_err(|error| ConnectionError::NoResponse(error.to_string()))?;
-            self.cx.release_connection(&self.request.service, source, connection);
-            Ok((parts.status, body.to_bytes()))
-        };
-        let result: Result<_, ConnectionError> =
-            tokio::time::timeout(MIGRATION_CALL_TIMEOUT, call).await.map_err(|_| {
-                let timeout_ms = MIGRATION_CALL_TIMEOUT.as_millis();
-                CopyError::Failed(format!("no response within {timeout_ms} ms"))
-            })?;
-        let (status, body) = result.map_err(|error| match error {
-            ConnectionError::NotSent(why) | ConnectionError::NoResponse(why) => {
-                CopyError::Failed(why)
-            }
-        })?;
-        engine::parse_migration_response(source_address, status, &body)
-    }
-
-    /// Reads the rest of a stopped run's stream into the splitter.
-    async fn drain_current_run(&mut self) {
-        while let Some((body, _)) = &mut self.current_run
-            && !self.splitter.is_event_too_long()
-        {
-            match body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Some(bytes) = frame.data_ref() {
-                        self.splitter.push(bytes);
-                    }
-                }
-                // The stream of a stopped run ends without a final chunk.
-                Some(Err(_)) | None => return,
-            }
-        }
-    }
-
     /// Returns when the stream counts as stalled if there are no events from `waiting_since` on.
     fn stalled_at(&self, waiting_since: Instant) -> Instant {
         let last = self.request.deadline + DEADLINE_OVERRUN;
@@ -408,6 +287,10 @@
                 self.last_event = events.last_id.or(self.last_event);
                 return Ok(events.bytes);
             }
+            if self.splitter.has_foreign_bytes() {
+                let why = "the stream contains bytes that are no event";
+                return Err(ReadEnd::Failed(why.to_owned()));
+            }
             if self.splitter.is_event_too_long() {
                 let why = format!("an event is longer than {MAX_EVENT_BYTES} bytes");
                 return Err(ReadEnd::Failed(why));
@@ -481,15 +364,10 @@
             };
             self.history.record_result(&server.entry, outcome.send_result());
             match outcome {
-                SendOutcome::Response(reply) if reply.rsp.status().is_success() => {
-                    self.splitter = EventSplitter::after(self.last_event);
-                    self.current_run = Some((reply.rsp.into_body(), reply.run));
-                    return Ok(());
-                }
-                SendOutcome::Response(reply) => {
-                    self.record.send_ended(&format!("status {}", reply.rsp.status().as_u16()));
-                    reply.run.finish_without_body();
-                }
+                SendOutcome::Response(reply) => match self.continue_with(*reply) {
+                    Ok(()) => return Ok(()),
+                    Err(why) => self.record.send_ended(&why),
+                },
                 SendOutcome::NotRun => self.record.send_ended("not run"),
                 SendOutcome::Misdirected => self.record.send_ended("misdirected"),
                 SendOutcome::NotSent(why) | SendOutcome::Unknown(why) => {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -397,14 +397,11 @@
 
 /// Decodes each of the parts of a response by itself, and leaves out those that can't be read.
 fn decode_each<T: DeserializeOwned>(collection: Collection, parts: &[Box<RawValue>]) -> Vec<T> {
-    let decode = |part: &Box<RawValue>| match serde_json::from_str(part.get()) {
-        Ok(decoded) => Some(decoded),
-        Err(error) => {
-            log_unreadable(collection, "unknown", &error.to_string());
-            None
-        }
-    };
-    parts.iter().filter_map(decode).collect()
+    let decoded = parts.iter().map(|part| serde_json::from_str(part.get()));
+    let readable = decoded.filter_map(|decoded| {
+        decoded.inspect_err(|error| log_unreadable(collection, "unknown", &error.to_string())).ok()
+    });
+    readable.collect()
 }
 
 /// Decodes a response. Bytes that are no UTF-8 are replaced, so that they spoil only the object that
--- a/tests/gateway/surplus.rs
+++ b/tests/gateway/surplus.rs
@@ -5,9 +5,11 @@
 
 use rstest::rstest;
 
-use crate::support::instance::InstanceSettings;
-use crate::support::runner::plain_body;
-use crate::support::{Instance, RawConnection, RawServer, StandInStore, config, wait_until};
+use crate::support::instance::{ATTEMPT_ID, InstanceSettings};
+use crate::support::runner::{EVENTS, event, full_stream, plain_body};
+use crate::support::{
+    Instance, RawConnection, RawServer, StandInBackend, StandInStore, config, wait_until,
+};
 
 /// Returns an instance before a store that lists the given servers by name.
 async fn instance(servers: &[(&str, serde_json::Value)]) -> Instance {
@@ -85,3 +87,113 @@
         assert!([200, 502].contains(&status), "{attempt} ran and received {status}");
     }
 }
+
+fn stream_head(attempt: &str, content_type: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nx-laburnumvalve-attempt-id: {attempt}\r\n\
+         x-laburnumvalve-response-seal: seal\r\ncontent-type: {content_type}\r\n\
+         connection: close\r\n\r\n"
+    )
+}
+
+/// Starts a server whose streams break off inside the third event, after `rest`.
+async fn breaking_server(rest: &'static str) -> RawServer {
+    RawServer::start(move |mut connection: RawConnection| async move {
+        let Some(attempt) = connection.read_request().await else { return };
+        let head = stream_head(&attempt, "text/event-stream");
+        let events: String = (1..=2).map(|id| event(&attempt, id)).collect();
+        connection.write(format!("{head}{events}{rest}").as_bytes()).await;
+    })
+    .await
+}
+
+/// Starts a server that answers each request with the given response.
+async fn answering_server(rsp: fn(&str) -> String) -> RawServer {
+    RawServer::start(move |mut connection: RawConnection| async move {
+        let Some(attempt) = connection.read_request().await else { return };
+        connection.write(rsp(&attempt).as_bytes()).await;
+    })
+    .await
+}
+
+fn error_status(attempt: &str) -> String {
+    let body = "event: error\ndata: out of memory\n\n";
+    format!(
+        "HTTP/1.1 500 Internal Server Error\r\nx-laburnumvalve-attempt-id: {attempt}\r\n\
+         x-laburnumvalve-response-seal: seal\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn error_as_success(attempt: &str) -> String {
+    let body = "{\"error\":\"out of memory\"}\n\n";
+    format!("{}{body}", stream_head(attempt, "application/json"))
+}
+
+fn error_text_as_events(attempt: &str) -> String {
+    format!("{}Internal Server Error\n\n", stream_head(attempt, "text/event-stream"))
+}
+
+fn error_head_as_events(attempt: &str) -> String {
+    format!("{}{}", stream_head(attempt, "text/event-stream"), error_status(attempt))
+}
+
+fn empty_success(attempt: &str) -> String {
+    format!(
+        "HTTP/1.1 204 No Content\r\nx-laburnumvalve-attempt-id: {attempt}\r\n\
+         x-laburnumvalve-response-seal: seal\r\n\r\n"
+    )
+}
+
+/// Guards against the text or the head of an error in the middle of a caller's stream, and against
+/// a stream that ends there as if it were complete.
+#[rstest]
+#[case::error_status(error_status)]
+#[case::error_as_success(error_as_success)]
+#[case::error_text_as_events(error_text_as_events)]
+#[case::error_head_as_events(error_head_as_events)]
+#[case::empty_success(empty_success)]
+#[tokio::test]
+async fn error_of_the_server_that_resumes_a_stream_is_not_a_part_of_it(
+    #[case] rsp: fn(&str) -> String,
+) {
+    let broken = breaking_server("id: 3\ndata: ha").await;
+    let failing = answering_server(rsp).await;
+    let instance = instance(&[("broken", broken.entry()), ("failing", failing.entry())]).await;
+    let whole = full_stream(ATTEMPT_ID);
+
+    for _ in 0..12 {
+        let rsp = instance.request("/job/1", "key").send().await.expect("there is a response");
+        if rsp.status() != 200 {
+            continue;
+        }
+        let mut received = String::new();
+        let mut rsp = rsp;
+        let end = loop {
+            match rsp.chunk().await {
+                Ok(Some(bytes)) => received.push_str(&String::from_utf8_lossy(&bytes)),
+                Ok(None) => break Ok(()),
+                Err(error) => break Err(error),
+            }
+        };
+        assert!(whole.starts_with(&received), "the caller received {received:?}");
+        assert!(end.is_err(), "the stream looks complete: {received:?}");
+    }
+}
+
+/// Guards against a second response that follows the events of a stream without framing and reaches
+/// the caller as one of them.
+#[tokio::test]
+async fn response_after_the_events_of_a_stream_is_not_a_part_of_it() {
+    let rest = "HTTP/1.1 503 Service Unavailable\r\nx-laburnumvalve-attempt-id: other\r\n\
+                content-length: 0\r\n\r\n";
+    let broken = breaking_server(rest).await;
+    let sound = StandInBackend::start("sound").await;
+    let instance = instance(&[("broken", broken.entry()), ("sound", sound.entry())]).await;
+
+    for _ in 0..6 {
+        let rsp = instance.request("/job/1", "key").send().await.expect("there is a response");
+        let text = rsp.text().await.expect("the stream is continued");
+        assert_eq!(text, full_stream(ATTEMPT_ID), "of {EVENTS} events");
+    }
+}
