--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -199,6 +199,7 @@
     fn drop(&mut self) {
         self.end_prefill();
         self.cx.loads.borrow_mut().get_or_insert(&self.server).finish_request();
+        self.cx.finish_run(&self.request);
     }
 }
 
@@ -280,6 +281,7 @@
     server: &Server,
 ) -> Run {
     let parts = request.head.demand.shared_prefix().iter().map(|part| part.id);
+    cx.start_run(request);
     cx.loads.borrow_mut().get_or_insert(&choice.server).start_request(
         Instant::now(),
         choice.prefill_tokens,
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -178,8 +178,7 @@
             return Err(attempts.final_refusal(request, record, why, refusal));
         }
         check_prompt_parts(cx, request, record, &attempts)?;
-        let demand = &request.head.demand;
-        let Some((choice, server)) = cx.choose(&request.service, demand, &attempts.history) else {
+        let Some((choice, server)) = cx.choose(request, &attempts.history) else {
             let why = "no backend server is available";
             let refusal = refuse_for_lack_of_servers(cx, request);
             return Err(attempts.final_refusal(request, record, why, refusal));
--- a/src/gateway/relay/migration.rs
+++ b/src/gateway/relay/migration.rs
@@ -122,9 +122,7 @@
         let service = &self.request.service;
         let mut excluded = self.history.clone();
         excluded.record_send(from.clone());
-        let demand = &self.request.head.demand;
-        let alternative =
-            self.cx.choose_for_migration(service, demand, &excluded, &self.migrations);
+        let alternative = self.cx.choose_for_migration(&self.request, &excluded, &self.migrations);
         let (choice, server) = alternative.ok_or(MigrationError::NoEngine)?;
         self.check_key().map_err(|_| MigrationError::KeyRejected)?;
         if !self.cx.has_retry(&service.name) {
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -344,10 +344,7 @@
             && !self.request.time_left().is_zero()
         {
             self.check_key()?;
-            let demand = &self.request.head.demand;
-            let Some((choice, server)) =
-                self.cx.choose(&self.request.service, demand, &self.history)
-            else {
+            let Some((choice, server)) = self.cx.choose(&self.request, &self.history) else {
                 return Err("no other backend server is available".to_owned());
             };
             if self.history.needs_retry_budget() && !self.cx.take_retry(&self.request.service.name)
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::watch;
 
+use super::attempt::AdmittedRequest;
 use super::evidence::SharedEvidence;
 use super::links::{Connection, ConnectionPool, max_idle_per_instance};
 use super::settings::GatewaySettings;
@@ -249,19 +250,43 @@
     /// prompts according to the recent work mix.
     fn choice_settings(
         &self,
-        service: &Service,
+        request: &AdmittedRequest,
         cfg: &GatewaySettings,
-        engines: usize,
+        engines: &[&Server],
     ) -> ChoiceSettings {
         let mixes = self.workload_mixes.borrow();
-        let size = FleetSize { engines, instances: self.instance_count() };
-        let share = mixes.get(&service.name).map(|mix| mix.short_pool_share(&cfg.choice, size));
+        let size = FleetSize {
+            engines: engines.len(),
+            slots: engines.first().map_or(0, |engine| engine.entry.slots),
+            instances: self.instance_count(),
+        };
+        let share = mixes.get(&request.service.name).map(|mix| {
+            mix.short_pool_share(&cfg.choice, &request.head.demand, request.urgency, size)
+        });
         ChoiceSettings {
             short_pool_share: share.unwrap_or(cfg.choice.short_pool_share),
             ..cfg.choice
         }
     }
 
+    /// Records the start of a run for the work mix of its service.
+    pub fn start_run(&self, request: &AdmittedRequest) {
+        if request.service.is_engine {
+            let mut mixes = self.workload_mixes.borrow_mut();
+            let mix = mixes.entry(request.service.name.clone()).or_default();
+            mix.start_run(&self.cfg.borrow().choice, &request.head.demand, request.urgency);
+        }
+    }
+
+    /// Records the end of a run for the work mix of its service.
+    pub fn finish_run(&self, request: &AdmittedRequest) {
+        if request.service.is_engine {
+            let mut mixes = self.workload_mixes.borrow_mut();
+            let mix = mixes.entry(request.service.name.clone()).or_default();
+            mix.finish_run(&self.cfg.borrow().choice, &request.head.demand, request.urgency);
+        }
+    }
+
     /// Takes one retry from the budget of a service; returns false if the budget is exhausted.
     pub fn take_retry(&self, service: &ServiceName) -> bool {
         let cfg = self.cfg();
@@ -292,16 +317,16 @@
     /// others.
     pub fn choose(
         &self,
-        service: &Service,
-        demand: &Demand,
+        request: &AdmittedRequest,
         history: &SendHistory,
     ) -> Option<(Choice, Server)> {
         let now = Instant::now();
         let cfg = self.cfg();
         let fleet = self.fleet.borrow();
         let loads = self.loads.borrow();
-        let candidates = self.candidates(now, service, history, &fleet, &loads);
-        let settings = self.choice_settings(service, &cfg, candidates.len());
+        let candidates = self.candidates(now, &request.service, history, &fleet, &loads);
+        let settings = self.choice_settings(request, &cfg, &candidates);
+        let demand = &request.head.demand;
         let choice = choose(now, &settings, &cfg.data_centre, demand, &candidates, &loads)?;
         let server = fleet.get(&choice.server)?.clone();
         Some((choice, server))
@@ -310,8 +335,7 @@
     /// Chooses the engine that a running request is migrated to.
     pub fn choose_for_migration(
         &self,
-        service: &Service,
-        demand: &Demand,
+        request: &AdmittedRequest,
         history: &SendHistory,
         attempts: &MigrationAttempts,
     ) -> Option<(Choice, Server)> {
@@ -319,8 +343,9 @@
         let cfg = self.cfg();
         let fleet = self.fleet.borrow();
         let loads = self.loads.borrow();
-        let engines = self.candidates(now, service, history, &fleet, &loads);
-        let settings = self.choice_settings(service, &cfg, engines.len());
+        let engines = self.candidates(now, &request.service, history, &fleet, &loads);
+        let settings = self.choice_settings(request, &cfg, &engines);
+        let demand = &request.head.demand;
         let choice =
             attempts.choose_engine(now, &settings, &cfg.data_centre, demand, &engines, &loads)?;
         let server = fleet.get(&choice.server)?.clone();
--- a/src/routing/mix.rs
+++ b/src/routing/mix.rs
@@ -1,8 +1,7 @@
 //! Division of the engines between long and short prompts, according to the recent workload.
 //!
-//! In a burst of urgent short prompts, a division in proportion to the work would leave them waiting
-//! in their pool while less urgent long prompts start in the other one, so they get as many engines
-//! as they need first.
+//! In a burst of urgent short prompts, a division in proportion to the work alone would leave them
+//! waiting in their pool while less urgent long prompts start in the other one.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -25,10 +24,7 @@
 /// Minimum and maximum share of the engines in the short-prompt pool.
 const SHORT_POOL_SHARE_BOUNDS: [f64; 2] = [0.15, 0.45];
 
-/// Half-life of the recorded urgent work; short, as urgent requests wait in the meantime.
-const URGENT_HALF_LIFE: Duration = Duration::from_secs(1);
-/// Maximum share of the engines in the short-prompt pool if its work is the more urgent one. The
-/// rest keeps less urgent requests from starving.
+/// Maximum share of the engines that urgent short prompts use without a penalty.
 const MAX_URGENT_POOL_SHARE: f64 = 0.85;
 
 /// Engines of a service and the instances that send requests to them.
@@ -36,20 +32,24 @@
 pub struct FleetSize {
     /// Number of usable engines.
     pub engines: usize,
+    /// Slots of an engine.
+    pub slots: u32,
     /// Number of instances, each of which is assumed to receive an equal part of the requests.
     pub instances: usize,
 }
 
-/// Work of recent requests, in ms of engine time.
+/// Work of requests with the same urgency.
 #[derive(Debug, Default, Clone, Copy)]
 struct Work {
+    /// Recent work of long prompts, in ms of engine time.
     long_ms: f64,
+    /// Recent work of short prompts, in ms of engine time.
     short_ms: f64,
-    /// Work of short prompts, decayed with the shorter half-life.
-    recent_short_ms: f64,
+    /// Requests with short prompts that were sent and have not ended.
+    short_in_flight: u32,
 }
 
-/// Exponentially decayed work of recent requests by urgency.
+/// Work of recent requests by urgency, exponentially decayed.
 #[derive(Debug, Default)]
 pub struct WorkloadMix {
     /// At most one entry for each urgency that servers distinguish.
@@ -70,11 +70,9 @@
         let age = self.updated_at.map_or(Duration::ZERO, |at| now.duration_since(at));
         self.updated_at = Some(now);
         let decay = exponential_decay(age, HALF_LIFE);
-        let recent_decay = exponential_decay(age, URGENT_HALF_LIFE);
         for work in self.by_urgency.values_mut() {
             work.long_ms *= decay;
             work.short_ms *= decay;
-            work.recent_short_ms *= recent_decay;
         }
         let shared: u64 = demand.shared_prefix().iter().map(|part| part.tokens).sum();
         let prefill_ms =
@@ -84,34 +82,58 @@
         if demand.prompt_tokens >= cfg.long_prompt_tokens {
             work.long_ms += (prefill_ms + decode_ms) / LONG_POOL_UTILISATION;
         } else if demand.prompt_tokens > 0 {
-            let short_ms = (prefill_ms + decode_ms) / SHORT_POOL_UTILISATION;
-            work.short_ms += short_ms;
-            work.recent_short_ms += short_ms;
+            work.short_ms += (prefill_ms + decode_ms) / SHORT_POOL_UTILISATION;
         }
     }
 
-    /// Returns the share of the engines to reserve for short prompts.
+    /// Records that a request was sent to an engine.
+    pub fn start_run(&mut self, cfg: &ChoiceSettings, demand: &Demand, urgency: u8) {
+        if is_short(cfg, demand) {
+            self.by_urgency.entry(urgency).or_default().short_in_flight += 1;
+        }
+    }
+
+    /// Records that a request that was sent has ended.
+    pub fn finish_run(&mut self, cfg: &ChoiceSettings, demand: &Demand, urgency: u8) {
+        if is_short(cfg, demand) {
+            let work = self.by_urgency.entry(urgency).or_default();
+            work.short_in_flight = work.short_in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Returns the share of the engines that a request takes to be reserved for short prompts.
     ///
-    /// The engines are divided in proportion to the work. If short prompts are the more urgent
-    /// ones, their pool has at least the engines that their work needs.
-    pub fn short_pool_share(&self, cfg: &ChoiceSettings, fleet: FleetSize) -> f64 {
+    /// The engines are divided in proportion to the work. Short prompts that are more urgent than
+    /// most long ones use further engines as soon as they don't fit into their own; there, engines
+    /// admit them first. Long prompts keep off the proportional part only, so that they don't
+    /// starve.
+    pub fn short_pool_share(
+        &self,
+        cfg: &ChoiceSettings,
+        demand: &Demand,
+        urgency: u8,
+        fleet: FleetSize,
+    ) -> f64 {
         let sum = |part: fn(&Work) -> f64| self.by_urgency.values().map(part).sum::<f64>();
         let short_ms = sum(|work| work.short_ms) + PRIOR_MS * cfg.short_pool_share;
         let long_ms = sum(|work| work.long_ms) + PRIOR_MS * (1.0 - cfg.short_pool_share);
         let proportional = (short_ms / (short_ms + long_ms))
             .clamp(SHORT_POOL_SHARE_BOUNDS[0], SHORT_POOL_SHARE_BOUNDS[1]);
-        let needed = self.urgent_engines(fleet.instances) / fleet.engines.max(1) as f64;
-        proportional.max(needed.min(MAX_URGENT_POOL_SHARE))
+        match self.typical_long_urgency() {
+            Some(long) if is_short(cfg, demand) && urgency < long => {
+                proportional.max(self.occupied_share(long, fleet).min(MAX_URGENT_POOL_SHARE))
+            }
+            _ => proportional,
+        }
     }
 
-    /// Returns the number of engines that the short prompts of all `instances` need which are more
-    /// urgent than most long prompts.
-    fn urgent_engines(&self, instances: usize) -> f64 {
-        let Some(long_urgency) = self.typical_long_urgency() else { return 0.0 };
-        let urgent = self.by_urgency.range(..long_urgency);
-        let recent_ms: f64 = urgent.map(|(_, work)| work.recent_short_ms).sum();
-        let window_ms = URGENT_HALF_LIFE.as_secs_f64() * 1_000.0 / std::f64::consts::LN_2;
-        recent_ms / window_ms * instances as f64
+    /// Returns the share of all slots that short prompts more urgent than `limit` take, waiting
+    /// ones included, if the other instances have as many as this one.
+    fn occupied_share(&self, limit: u8, fleet: FleetSize) -> f64 {
+        let urgent = self.by_urgency.range(..limit);
+        let in_flight: u32 = urgent.map(|(_, work)| work.short_in_flight).sum();
+        let slots = fleet.engines as f64 * f64::from(fleet.slots);
+        f64::from(in_flight) * fleet.instances as f64 / slots.max(1.0)
     }
 
     /// Returns the urgency up to which half of the long prompts' work lies; `None` if there is none.
@@ -125,3 +147,8 @@
         found.map(|(urgency, _)| *urgency)
     }
 }
+
+/// Returns whether a request to an engine has a short prompt.
+fn is_short(cfg: &ChoiceSettings, demand: &Demand) -> bool {
+    (1..cfg.long_prompt_tokens).contains(&demand.prompt_tokens)
+}
