Keep only the used parts of what others write to the store

Callers saw: requests without an answer or a machine.

Cause: each stored value was decoded to a tree, some eighty times its text, kept in the mirror and sent to peers, before anything told whether it is used.

Change: stored values stay text until a reader decodes the fields that it uses; only used parts are kept and sent to peers, with a bound. A response has 4 MB at most; changes that are longer or can't be read lead to a list by pages instead of the same call again. The stand-in store keeps text, too: with values of 1 MB it took seconds for each page. The tests of the wire and of mirrors pass text in place of trees; their assertions are unchanged.

--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -316,7 +316,8 @@
         let req = client.post(url).timeout(MESSAGE_TIMEOUT).json(&message);
         let rsp = req.send().await.map_err(|error| http::error_chain(&error))?;
         let status = rsp.status();
-        let body = http::read_limited(rsp, MAX_MESSAGE_BYTES).await?;
+        let body = http::read_limited(rsp, MAX_MESSAGE_BYTES).await;
+        let body = body.map_err(|error| error.to_string())?;
         if !status.is_success() {
             return Err(format!("status {status}: {}", String::from_utf8_lossy(&body)));
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -277,7 +277,8 @@
     let req = client.post(url).timeout(hold + RESPONSE_MARGIN).json(&pull);
     let rsp = req.send().await.map_err(|error| PullError::NoResponse(http::error_chain(&error)))?;
     let status = rsp.status();
-    let body = http::read_limited(rsp, MAX_RESPONSE_BYTES).await.map_err(PullError::NoResponse)?;
+    let body = http::read_limited(rsp, MAX_RESPONSE_BYTES).await;
+    let body = body.map_err(|error| PullError::NoResponse(error.to_string()))?;
     if !status.is_success() {
         let why = String::from_utf8_lossy(&body);
         return Err(PullError::Unusable(format!("status {status}: {why}")));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,7 +38,7 @@
 fn apply_config(cx: &InstanceState, item: &Item) {
     let Some(value) = item.value.as_ref().filter(|_| item.name == CONFIG_NAME) else { return };
     let revision = item.revision;
-    match decode_config(value) {
+    match decode_config(value.as_str()) {
         Ok(catalog) => {
             let former = cx.catalog().version;
             if catalog.version > former {
@@ -61,7 +61,7 @@
     let mut listed = Vec::new();
     for item in &update.items {
         let entry = match &item.value {
-            Some(value) => decode_server(&item.name, value),
+            Some(value) => decode_server(&item.name, value.as_str()),
             None => Err("deleted".to_owned()),
         };
         match entry {
@@ -133,7 +133,7 @@
             members.remove(&name);
             continue;
         };
-        match <Member as serde::Deserialize>::deserialize(value) {
+        match serde_json::from_str::<Member>(value.as_str()) {
             Ok(member) => members.put(name, member),
             Err(error) => tracing::error!(%name, %error, "instance entry is invalid; ignoring it"),
         }
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -132,9 +132,20 @@
     }
 
     /// Waits for changes; lists the whole collection if the store no longer has the history since
-    /// `revision`.
+    /// `revision`, or the changes can't be read, such as when they are too long together.
     async fn watch(&self, revision: u64) -> Result<Update, PlatformError> {
-        match self.store.watch(self.collection, revision, self.watch_timeout()).await? {
+        let watched = self.store.watch(self.collection, revision, self.watch_timeout()).await;
+        if let Err(PlatformError::Malformed(error)) = &watched {
+            let label = self.collection.label();
+            tracing::warn!(
+                of = label,
+                revision,
+                error,
+                "listing the collection instead of changes"
+            );
+            return self.list().await;
+        }
+        match watched? {
             WatchResult::Changes(changes, new_revision) => {
                 let to_item = |change: Change| item(change.object, change.is_deleted);
                 let items = changes.into_iter().map(to_item).collect();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod explain;
 pub mod gateway;
 pub mod home;
+pub mod json_text;
 pub mod lease;
 pub mod log;
 pub mod metrics;
--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -5,9 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde_json::Value;
+use serde::{Deserialize, Serialize};
 
+use crate::json_text::JsonText;
 use crate::routing::catalog::{
     CallerLimits, Catalog, CatalogParts, Organisation, RequestKind, Route, Scaling, Service,
     WeightedService,
@@ -16,6 +16,9 @@
 
 /// Tier of a route without a priority.
 const DEFAULT_TIER: f64 = 5.0;
+/// Maximum size of the used fields of a backend server's entry: some twenty times that of the usual
+/// ones.
+const MAX_SERVER_ENTRY_BYTES: usize = 4 << 10;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -98,7 +101,7 @@
     priority: Option<f64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 struct WireServer {
     service: String,
@@ -125,8 +128,8 @@
 ///
 /// # Errors
 /// Fails if the value isn't a configuration.
-pub fn decode_config(spec: &Value) -> serde_json::Result<Catalog> {
-    let wire = WireConfig::deserialize(spec)?;
+pub fn decode_config(spec: &str) -> serde_json::Result<Catalog> {
+    let wire: WireConfig = serde_json::from_str(spec)?;
     let default = CallerLimits::default();
     let limits = wire.limits.map_or(default, |limits| CallerLimits {
         max_header: limits.max_header_bytes.map_or(default.max_header, |bytes| bytes as usize),
@@ -201,12 +204,28 @@
     (Organisation { name: wire.name.into(), tier }, keys)
 }
 
+/// Returns the entry of a backend server without the fields that are not used.
+///
+/// # Errors
+/// Fails if a field is missing or has the wrong type, or if the used fields are too long.
+pub fn compact_server(spec: &str) -> Result<JsonText, String> {
+    let wire: WireServer = serde_json::from_str(spec).map_err(|error| error.to_string())?;
+    let compact = JsonText::encode(&wire).map_err(|error| error.to_string())?;
+    let length = compact.as_str().len();
+    if length > MAX_SERVER_ENTRY_BYTES {
+        return Err(format!(
+            "the fields have {length} bytes instead of at most {MAX_SERVER_ENTRY_BYTES}"
+        ));
+    }
+    Ok(compact)
+}
+
 /// Decodes the entry of a backend server.
 ///
 /// # Errors
 /// Fails if a field is missing or has the wrong type, or if the state is unknown.
-pub fn decode_server(id: &str, spec: &Value) -> Result<Registration, String> {
-    let wire = WireServer::deserialize(spec).map_err(|error| error.to_string())?;
+pub fn decode_server(id: &str, spec: &str) -> Result<Registration, String> {
+    let wire: WireServer = serde_json::from_str(spec).map_err(|error| error.to_string())?;
     let is_draining = match wire.state.as_str() {
         "ready" => false,
         "draining" => true,
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,5 +1,6 @@
 //! HTTP client for the platform's interfaces.
 
+use std::fmt;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -36,15 +37,33 @@
     Ok(builder.connect_timeout(connect_timeout).build()?)
 }
 
+/// Reason why a response body was not read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BodyError {
+    /// The connection failed before the end of the body.
+    Broken(String),
+    /// The body is longer than this number of bytes.
+    TooLong(usize),
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(why) => f.write_str(why),
+            Self::TooLong(max) => write!(f, "the response body is longer than {max} bytes"),
+        }
+    }
+}
+
 /// Reads a response body of at most `max` bytes.
 ///
 /// # Errors
-/// Describes why the body is incomplete: the connection failed, or the body is longer.
-pub async fn read_limited(mut rsp: reqwest::Response, max: usize) -> Result<Bytes, String> {
+/// If the connection fails, or the body is longer.
+pub async fn read_limited(mut rsp: reqwest::Response, max: usize) -> Result<Bytes, BodyError> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = rsp.chunk().await.map_err(|error| error_chain(&error))? {
+    while let Some(chunk) = rsp.chunk().await.map_err(|e| BodyError::Broken(error_chain(&e)))? {
         if body.len() + chunk.len() > max {
-            return Err(format!("the response body is longer than {max} bytes"));
+            return Err(BodyError::TooLong(max));
         }
         body.extend_from_slice(&chunk);
     }
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -9,6 +9,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
+use super::http::{BodyError, read_limited};
+
 /// API group and version of the objects of this program.
 const API_VERSION: &str = "laburnumvalve.dev/v1";
 
@@ -269,23 +271,27 @@
         timeout: Duration,
     ) -> Result<String, PlatformError> {
         let req = self.http.request(method, url).timeout(timeout);
-        let (status, body) = send_request(req, body).await?;
+        let (status, body) = send_request(req, body, MAX_RESPONSE_BYTES).await?;
         check_status(status).map(|()| String::from_utf8_lossy(&body).into_owned())
     }
 }
 
-/// Sends a request and reads its response, whatever the status.
+/// Sends a request and reads its response of at most `max` bytes, whatever the status.
 pub(super) async fn send_request(
     mut req: RequestBuilder,
     body: Option<Value>,
+    max: usize,
 ) -> Result<(StatusCode, Bytes), PlatformError> {
     if let Some(body) = body {
         req = req.json(&body);
     }
     let rsp = req.send().await.map_err(|error| call_error(&error))?;
     let status = rsp.status();
-    let body = super::http::read_limited(rsp, MAX_RESPONSE_BYTES).await;
-    Ok((status, body.map_err(PlatformError::Unknown)?))
+    let body = read_limited(rsp, max).await.map_err(|error| match error {
+        BodyError::Broken(why) => PlatformError::Unknown(why),
+        BodyError::TooLong(_) => PlatformError::Malformed(error.to_string()),
+    });
+    Ok((status, body?))
 }
 
 /// Maps the status of a response to the outcome of the call.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -10,17 +10,20 @@
 use serde_json::value::RawValue;
 use serde_json::{Value, json};
 
+use super::catalog::compact_server;
 use super::headers::base_url;
 use super::objects::{Object, PlatformError, check_status, send_request};
+use crate::json_text::JsonText;
 
 /// Timeout of a call, after which its outcome is unknown.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time that a watch may take beyond its requested wait before it times out.
 const WATCH_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
-/// Maximum nesting of a value that is passed on to peers, in levels; the JSON parser of the receiver
-/// allows 128 for a whole message.
-const MAX_VALUE_DEPTH: usize = 64;
+/// Maximum size of a response: a page of a list has 1 MiB and one more object, of 1 MiB at most.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Maximum size of an instance's entry: some forty times that of the usual one.
+const MAX_INSTANCE_ENTRY_BYTES: usize = 4 << 10;
 
 choice! {
     /// Collections of objects in the store.
@@ -79,8 +82,8 @@
     pub name: String,
     /// Revision of its last change.
     pub revision: u64,
-    /// Value of the object.
-    pub value: Value,
+    /// Value of the object, with only the parts that this program uses; null if there are none.
+    pub value: JsonText,
 }
 
 /// A change of an object.
@@ -102,11 +105,13 @@
     HistoryExpired,
 }
 
-/// An object as stored. Its value is decoded by itself, as entries are also written by others.
+/// An object as stored. Its value is a part of the response's text, as entries are also written by
+/// others, and a decoded tree of an odd one may exceed the memory of a small machine.
 #[derive(Deserialize)]
-struct WireObject {
+struct WireObject<'a> {
     metadata: WireMetadata,
-    spec: Option<Box<RawValue>>,
+    #[serde(borrow)]
+    spec: Option<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -118,8 +123,9 @@
 
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
-struct WireList {
-    items: Vec<Box<RawValue>>,
+struct WireList<'a> {
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
     #[serde(default)]
     has_more: bool,
     /// Revision of the store at which the list was read.
@@ -127,60 +133,64 @@
 }
 
 #[derive(Deserialize)]
-struct WireEvents {
-    events: Vec<Box<RawValue>>,
+struct WireEvents<'a> {
+    #[serde(borrow)]
+    events: Vec<&'a RawValue>,
     at: u64,
 }
 
 #[derive(Deserialize)]
-struct WireEvent {
-    object: WireObject,
+struct WireEvent<'a> {
+    #[serde(borrow)]
+    object: WireObject<'a>,
     #[serde(default)]
     deleted: bool,
 }
 
-impl WireObject {
+impl WireObject<'_> {
     /// Decodes the value.
     ///
     /// # Errors
     /// Returns the reason why there is none of this type.
     fn decode_value<T: DeserializeOwned>(&self) -> Result<T, String> {
-        let text = self.spec.as_ref().ok_or("the object has no value")?;
+        let text = self.spec.ok_or("the object has no value")?;
         serde_json::from_str(text.get()).map_err(|error| error.to_string())
     }
 
     /// Converts a deleted object.
     fn without_value(self) -> StoredObject {
         let WireMetadata { name, revision } = self.metadata;
-        StoredObject { name, revision, value: Value::Null }
+        StoredObject { name, revision, value: JsonText::null() }
     }
 
     /// Converts the object; a value that can't be read becomes null, which no reader accepts.
     fn into_stored(self, collection: Collection) -> StoredObject {
-        let value = self.decode_value().and_then(check_depth).unwrap_or_else(|error| {
+        let value = self.used_value(collection).unwrap_or_else(|error| {
             log_unreadable(collection, &self.metadata.name, &error);
-            Value::Null
+            JsonText::null()
         });
         StoredObject { name: self.metadata.name, revision: self.metadata.revision, value }
     }
-}
 
-/// Checks that a value can be sent to peers, whose messages nest it a few levels deeper.
-fn check_depth(value: Value) -> Result<Value, String> {
-    if is_nested_deeper(&value, MAX_VALUE_DEPTH) {
-        return Err(format!("the value is nested more than {MAX_VALUE_DEPTH} levels deep"));
-    }
-    Ok(value)
-}
-
-fn is_nested_deeper(value: &Value, levels: usize) -> bool {
-    match (value, levels.checked_sub(1)) {
-        (Value::Array(_) | Value::Object(_), None) => true,
-        (Value::Array(items), Some(left)) => items.iter().any(|item| is_nested_deeper(item, left)),
-        (Value::Object(members), Some(left)) => {
-            members.values().any(|member| is_nested_deeper(member, left))
+    /// Returns the parts of the value that are used. What another writer adds is not kept or sent to
+    /// peers, whatever its size.
+    fn used_value(&self, collection: Collection) -> Result<JsonText, String> {
+        if collection == Collection::DataCentresOut {
+            // Only the name of an evacuated data centre is used.
+            return JsonText::encode(&json!({})).map_err(|error| error.to_string());
+        }
+        let text = self.spec.ok_or("the object has no value")?;
+        let length = text.get().len();
+        match collection {
+            Collection::Servers => compact_server(text.get()),
+            Collection::Configs if self.metadata.name != CONFIG_NAME => {
+                Err(format!("only the configuration \"{CONFIG_NAME}\" is used"))
+            }
+            Collection::Instances if length > MAX_INSTANCE_ENTRY_BYTES => Err(format!(
+                "the entry has {length} bytes instead of at most {MAX_INSTANCE_ENTRY_BYTES}"
+            )),
+            _ => Ok(text.into()),
         }
-        _ => false,
     }
 }
 
@@ -247,18 +257,19 @@
     async fn for_each_page(
         &self,
         collection: Collection,
-        mut visit: impl FnMut(Vec<WireObject>),
+        mut visit: impl FnMut(Vec<WireObject<'_>>),
     ) -> Result<u64, PlatformError> {
         let mut after: Option<String> = None;
         let mut first_at = None;
         loop {
             let query = after.as_ref().map(|name| format!("?after={name}")).unwrap_or_default();
             let url = format!("{}/{}{query}", self.base, collection.as_str());
-            let page: WireList = self.call(Method::GET, &url, None).await?;
+            let text = self.call(Method::GET, &url, None).await?;
+            let page: WireList<'_> = decode(&text)?;
             // Changes while later pages are read may be missing from earlier pages, so the watch
             // must start from the revision of the first page.
             let at = *first_at.get_or_insert(page.at);
-            let items: Vec<WireObject> = decode_each(collection, &page.items);
+            let items: Vec<WireObject<'_>> = decode_each(collection, &page.items);
             let last = items.last().map(|last| last.metadata.name.clone());
             visit(items);
             if !page.has_more {
@@ -275,7 +286,8 @@
     /// Waits for changes of a collection after a revision, for at most `wait`.
     ///
     /// # Errors
-    /// Returns the error of a failed call.
+    /// Returns the error of a failed call. After [`PlatformError::Malformed`], the same call is
+    /// likely to fail again, so the collection should be listed.
     pub async fn watch(
         &self,
         collection: Collection,
@@ -291,9 +303,10 @@
             return Ok(WatchResult::HistoryExpired);
         }
         check_status(status)?;
-        let events: WireEvents = decode(&body)?;
+        let text = to_text(body);
+        let events: WireEvents<'_> = decode(&text)?;
         let changes = decode_each(collection, &events.events).into_iter();
-        let changes = changes.map(|event: WireEvent| Change {
+        let changes = changes.map(|event: WireEvent<'_>| Change {
             is_deleted: event.deleted,
             object: match event.deleted {
                 true => event.object.without_value(),
@@ -312,7 +325,8 @@
         collection: Collection,
         name: &str,
     ) -> Result<Object<T>, PlatformError> {
-        let wire: WireObject = self.call(Method::GET, &self.url(collection, name), None).await?;
+        let text = self.call(Method::GET, &self.url(collection, name), None).await?;
+        let wire: WireObject<'_> = decode(&text)?;
         let spec = wire.decode_value().map_err(PlatformError::Malformed)?;
         let version = wire.metadata.revision.to_string();
         Ok(Object { name: wire.metadata.name, version, spec })
@@ -330,7 +344,7 @@
     ) -> Result<String, PlatformError> {
         let url = format!("{}/{}", self.base, collection.as_str());
         let body = json!({ "metadata": { "name": name }, "spec": value });
-        self.call(Method::POST, &url, Some(body)).await.map(version)
+        version(&self.call(Method::POST, &url, Some(body)).await?)
     }
 
     /// Replaces an object if it has the expected version, or unconditionally if that is `None`.
@@ -355,7 +369,7 @@
             metadata["revision"] = revision.into();
         }
         let body = json!({ "metadata": metadata, "spec": value });
-        self.call(Method::PUT, &self.url(collection, name), Some(body)).await.map(version)
+        version(&self.call(Method::PUT, &self.url(collection, name), Some(body)).await?)
     }
 
     /// Deletes an object.
@@ -372,15 +386,16 @@
         format!("{}/{}/{name}", self.base, collection.as_str())
     }
 
-    async fn call<T: DeserializeOwned>(
+    /// Makes a call and returns the text of its response.
+    async fn call(
         &self,
         method: Method,
         url: &str,
         body: Option<Value>,
-    ) -> Result<T, PlatformError> {
+    ) -> Result<String, PlatformError> {
         let (status, body) = self.send(method, url, body, CALL_TIMEOUT).await?;
         check_status(status)?;
-        decode(&body)
+        Ok(to_text(body))
     }
 
     async fn send(
@@ -391,12 +406,12 @@
         timeout: Duration,
     ) -> Result<(StatusCode, Bytes), PlatformError> {
         let req = self.http.request(method, url).timeout(timeout);
-        send_request(req, body).await
+        send_request(req, body, MAX_RESPONSE_BYTES).await
     }
 }
 
 /// Decodes each of the parts of a response by itself, and leaves out those that can't be read.
-fn decode_each<T: DeserializeOwned>(collection: Collection, parts: &[Box<RawValue>]) -> Vec<T> {
+fn decode_each<'a, T: Deserialize<'a>>(collection: Collection, parts: &[&'a RawValue]) -> Vec<T> {
     let decoded = parts.iter().map(|part| serde_json::from_str(part.get()));
     let readable = decoded.filter_map(|decoded| {
         decoded.inspect_err(|error| log_unreadable(collection, "unknown", &error.to_string())).ok()
@@ -404,13 +419,19 @@
     readable.collect()
 }
 
-/// Decodes a response. Bytes that are no UTF-8 are replaced, so that they spoil only the object that
-/// holds them.
-fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
-    let text = String::from_utf8_lossy(body);
-    serde_json::from_str(&text).map_err(|error| PlatformError::Malformed(error.to_string()))
+/// Returns the text of a response. Bytes that are no UTF-8 are replaced, so that they spoil only the
+/// object that holds them.
+fn to_text(body: Bytes) -> String {
+    String::from_utf8(body.into())
+        .unwrap_or_else(|error| String::from_utf8_lossy(error.as_bytes()).into_owned())
+}
+
+fn decode<'a, T: Deserialize<'a>>(text: &'a str) -> Result<T, PlatformError> {
+    serde_json::from_str(text).map_err(|error| PlatformError::Malformed(error.to_string()))
 }
 
-fn version(written: WireObject) -> String {
-    written.metadata.revision.to_string()
+/// Returns the version of the object in the response to a write.
+fn version(text: &str) -> Result<String, PlatformError> {
+    let written: WireObject<'_> = decode(text)?;
+    Ok(written.metadata.revision.to_string())
 }
--- a/src/routing/mirror.rs
+++ b/src/routing/mirror.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use serde_json::Value;
+use crate::json_text::JsonText;
 
 /// Maximum number of tombstones; a reader that missed more deletions gets a snapshot.
 const MAX_TOMBSTONES: usize = 512;
@@ -15,7 +15,7 @@
         /// Revision of the last change.
         pub revision: u64,
         /// Value; `None` if the object was deleted.
-        pub value: Option<Value>,
+        pub value: Option<JsonText>,
     }
 
     /// Changes of a collection up to a revision, or a snapshot of it.
--- a/tests/gateway/entries.rs
+++ b/tests/gateway/entries.rs
@@ -9,6 +9,18 @@
     Instance, StandInBackend, StandInStore, config, server_entry, stand_ins, wait_until,
 };
 
+/// Half of the memory of the smallest machine, which has 88 MB.
+const MAX_MEMORY_BYTES: u64 = 44 << 20;
+/// Maximum size of an object in the store.
+const MAX_OBJECT_BYTES: usize = 1 << 20;
+
+/// Returns the JSON text of an object of the maximum size with many small members, none of them a
+/// field of an entry.
+fn many_samples() -> String {
+    let samples = r#"{"t":1},"#.repeat(MAX_OBJECT_BYTES / 8 - 16);
+    format!(r#"{{"samples":[{samples}{{"t":1}}]}}"#)
+}
+
 /// Returns the JSON text of a number in so many arrays.
 fn nested(levels: usize) -> String {
     format!("{}1{}", "[".repeat(levels), "]".repeat(levels))
@@ -87,3 +99,39 @@
     wait_for_servers(&instance, 1).await;
     assert_served(&instance).await;
 }
+
+/// Guards against instances that exceed their memory, at each start again, because another writer
+/// put large values among the objects that they read; directly and by a peer.
+#[rstest]
+#[case::one_server("servers", 1)]
+#[case::more_than_a_response_holds("servers", 8)]
+#[case::data_centres("evacuations", 4)]
+#[case::instances("valve-instances", 4)]
+#[case::configurations("config", 4)]
+#[tokio::test]
+async fn large_values_of_other_writers_take_no_memory(#[case] kind: &str, #[case] count: usize) {
+    let (store, _server) = stand_ins(&["key"]).await;
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
+    let before = Instance::start(cfg.clone()).await;
+    let value = many_samples();
+    for number in 0..count {
+        store.put_raw(kind, &format!("sampler-{number}"), &value);
+    }
+    let second = StandInBackend::start("runner-2").await;
+    store.put("servers", "runner-2", second.entry());
+
+    wait_for_servers(&before, 2).await;
+    let seeds = format!("seeds={}\n", before.peer_address);
+    let by_peer =
+        InstanceSettings { name: "instance-2".to_owned(), extra_settings: seeds, ..cfg.clone() };
+    let directly = InstanceSettings { name: "instance-3".to_owned(), ..cfg };
+    let after = [Instance::start(by_peer).await, Instance::start(directly).await];
+
+    for mut instance in [before].into_iter().chain(after) {
+        wait_for_servers(&instance, 2).await;
+        assert_served(&instance).await;
+        assert!(!instance.has_ended());
+        let peak = instance.peak_memory();
+        assert!(peak < MAX_MEMORY_BYTES, "{} took {peak} bytes", instance.peer_address);
+    }
+}
--- a/tests/gateway/support/store.rs
+++ b/tests/gateway/support/store.rs
@@ -18,15 +18,12 @@
 /// Size of the values in a page from which no further object is added.
 const MAX_PAGE_BYTES: usize = 1 << 20;
 
-/// Prefix of the strings that stand for values which are sent as they are.
-const RAW_PREFIX: &str = "raw-";
-
 #[derive(Default)]
 struct State {
     revision: u64,
-    objects: BTreeMap<(String, String), (u64, Value)>,
-    /// Changes: revision, kind, name, and the value unless it was deleted.
-    events: Vec<(u64, String, String, Option<Value>)>,
+    objects: BTreeMap<(String, String), (u64, Arc<str>)>,
+    /// Changes: revision, kind, name, and the text of the value unless it was deleted.
+    events: Vec<(u64, String, String, Option<Arc<str>>)>,
     /// Whether calls to the faulty address are refused.
     is_unavailable: bool,
     /// Whether responses to calls to the faulty address are dropped.
@@ -120,12 +117,12 @@
 
     /// Writes an object unconditionally, as operators and backend servers do.
     pub fn put(&self, kind: &str, name: &str, value: Value) -> u64 {
-        self.change(kind, name, |_| Ok(Some(value))).expect("the change has no condition")
+        self.put_raw(kind, name, &value.to_string())
     }
 
     /// Writes an object whose value is the given JSON text, which may be one that can't be decoded.
-    pub fn put_raw(&self, kind: &str, name: &str, text: &str) {
-        self.put(kind, name, Value::String(format!("{RAW_PREFIX}{}", hex::encode(text))));
+    pub fn put_raw(&self, kind: &str, name: &str, text: &str) -> u64 {
+        self.change(kind, name, |_| Ok(Some(text.into()))).expect("the change has no condition")
     }
 
     /// Returns whether an object exists.
@@ -144,7 +141,7 @@
         &self,
         kind: &str,
         name: &str,
-        decide: impl FnOnce(Option<u64>) -> Result<Option<Value>, StatusCode>,
+        decide: impl FnOnce(Option<u64>) -> Result<Option<Arc<str>>, StatusCode>,
     ) -> Result<u64, StatusCode> {
         let key = (kind.to_owned(), name.to_owned());
         let mut state = self.lock();
@@ -193,14 +190,15 @@
         });
         let (mut items, mut bytes) = (Vec::new(), 0);
         for ((_, name), (revision, value)) in of_kind.by_ref() {
-            bytes += value.to_string().len();
+            bytes += value.len();
             items.push(object(name, *revision, value));
             if items.len() >= MAX_PAGE_ITEMS || bytes >= MAX_PAGE_BYTES {
                 break;
             }
         }
+        let (items, at) = (items.join(","), state.revision);
         let has_more = of_kind.next().is_some();
-        reply(&json!({ "items": items, "has-more": has_more, "at": state.revision }))
+        reply(format!(r#"{{"items":[{items}],"has-more":{has_more},"at":{at}}}"#))
     }
 
     async fn watch(&self, kind: &str, query: &str) -> Response<Body> {
@@ -219,18 +217,18 @@
             let (events, at) = self.events_since(kind, since);
             let left = wait.saturating_sub(started.elapsed());
             if !events.is_empty() || left.is_zero() {
-                return reply(&json!({ "events": events, "at": at }));
+                return reply(format!(r#"{{"events":[{}],"at":{at}}}"#, events.join(",")));
             }
             let _ = tokio::time::timeout(left, changed.changed()).await;
         }
     }
 
-    fn events_since(&self, kind: &str, since: u64) -> (Vec<Value>, u64) {
+    fn events_since(&self, kind: &str, since: u64) -> (Vec<String>, u64) {
         let state = self.lock();
         let new = state.events.iter().filter(|(at, of, ..)| *at > since && of == kind);
         let events = new.map(|(at, _, name, value)| {
-            let spec = value.as_ref().unwrap_or(&Value::Null);
-            json!({ "deleted": value.is_none(), "object": object(name, *at, spec) })
+            let object = object(name, *at, value.as_deref().unwrap_or("null"));
+            format!(r#"{{"deleted":{},"object":{object}}}"#, value.is_none())
         });
         (events.collect(), state.revision)
     }
@@ -238,53 +236,41 @@
     fn get(&self, kind: &str, name: &str) -> Response<Body> {
         let state = self.lock();
         match state.objects.get(&(kind.to_owned(), name.to_owned())) {
-            Some((revision, value)) => reply(&object(name, *revision, value)),
+            Some((revision, value)) => reply(object(name, *revision, value)),
             None => status(StatusCode::NOT_FOUND),
         }
     }
 
     fn create(&self, kind: &str, body: &Value) -> Response<Body> {
         let name = body["metadata"]["name"].as_str().unwrap_or_default();
-        let spec = &body["spec"];
+        let spec = body["spec"].to_string();
         let created = self.change(kind, name, |known| match known {
             Some(_) => Err(StatusCode::CONFLICT),
-            None => Ok(Some(spec.clone())),
+            None => Ok(Some(spec.as_str().into())),
         });
-        created.map_or_else(status, |revision| reply(&object(name, revision, spec)))
+        created.map_or_else(status, |revision| reply(object(name, revision, &spec)))
     }
 
     fn replace(&self, kind: &str, name: &str, body: &Value) -> Response<Body> {
-        let spec = &body["spec"];
+        let spec = body["spec"].to_string();
         let named = body["metadata"]["revision"].as_u64();
         let replaced = self.change(kind, name, |known| match known {
             None => Err(StatusCode::NOT_FOUND),
             Some(known) if named.is_some_and(|named| named != known) => Err(StatusCode::CONFLICT),
-            Some(_) => Ok(Some(spec.clone())),
+            Some(_) => Ok(Some(spec.as_str().into())),
         });
-        replaced.map_or_else(status, |revision| reply(&object(name, revision, spec)))
+        replaced.map_or_else(status, |revision| reply(object(name, revision, &spec)))
     }
 }
 
-fn object(name: &str, revision: u64, value: &Value) -> Value {
-    json!({ "metadata": { "name": name, "revision": revision }, "spec": value })
-}
-
-fn reply(body: &Value) -> Response<Body> {
-    Response::new(full(insert_raw_texts(&body.to_string())))
+/// Returns the JSON text of an object with a value.
+fn object(name: &str, revision: u64, value: &str) -> String {
+    let metadata = json!({ "name": name, "revision": revision });
+    format!(r#"{{"metadata":{metadata},"spec":{value}}}"#)
 }
 
-/// Replaces the strings that stand for the values of [`StandInStore::put_raw`] by their text.
-fn insert_raw_texts(body: &str) -> String {
-    let start = format!("\"{RAW_PREFIX}");
-    let mut parts = body.split(&start);
-    let mut text = parts.next().unwrap_or_default().to_owned();
-    for part in parts {
-        let (raw, rest) = part.split_once('"').expect("the string ends");
-        let raw = hex::decode(raw).expect("the string was written by `put_raw`");
-        text.push_str(&String::from_utf8_lossy(&raw));
-        text.push_str(rest);
-    }
-    text
+fn reply(body: String) -> Response<Body> {
+    Response::new(full(body))
 }
 
 fn status(status: StatusCode) -> Response<Body> {
--- a/tests/routing/peers.rs
+++ b/tests/routing/peers.rs
@@ -3,19 +3,20 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use laburnumvalve::json_text::JsonText;
 use laburnumvalve::names::InstanceName;
 use laburnumvalve::routing::absence::{DEAD_AFTER, FailureDetector};
 use laburnumvalve::routing::members::{Member, Members};
 use laburnumvalve::routing::mirror::{Item, Mirror, Update};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use serde_json::json;
 
 /// Seed of the generated cases.
 const SEED: u64 = 20_261_206;
 
 fn put(name: &str, revision: u64) -> Item {
-    Item { name: name.to_owned(), revision, value: Some(json!(revision)) }
+    let value = JsonText::encode(&revision).expect("a number is JSON");
+    Item { name: name.to_owned(), revision, value: Some(value) }
 }
 
 fn deleted(name: &str, revision: u64) -> Item {
--- a/tests/routing/wire.rs
+++ b/tests/routing/wire.rs
@@ -55,7 +55,7 @@
         "tenants": [{"name": "t", "api-keys": ["k"], "priority": 1}],
     });
 
-    let catalog = decode_config(&spec).expect("it is valid");
+    let catalog = decode_config(&spec.to_string()).expect("it is valid");
 
     let route = catalog.route("h.example", "/p/x").expect("the route is there");
     assert_eq!(route.request_kind, RequestKind::ResumableStream);
@@ -69,7 +69,7 @@
 #[case::not_an_object(json!("garbage"))]
 #[case::wrong_type(json!({"service": 5, "address": "1.2.3.4:5", "zone": "z", "slots": 4, "state": "ready"}))]
 fn malformed_server_entry_is_rejected(#[case] spec: serde_json::Value) {
-    assert!(decode_server("i-1", &spec).is_err());
+    assert!(decode_server("i-1", &spec.to_string()).is_err());
 }
 
 fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
