Bound what is read of the stream of a run that was moved away

An engine that leaves sent text with empty lines without end where the stream of a moved run should have ended; the gateway exceeded 110 MB within a second.

Cause: the rest of a stopped stream was buffered for a second with the bound of a single event, which lines with empty lines between them never reach. Ruled out: heads, informational responses, trailers, bodies and other streams, which have bounds and tests (table in the postmortem).

Change: events are taken out as they arrive; reading ends at bytes that are no event, and at 256 KiB in sum. The record of the request says which.

--- a/src/gateway/relay/migration.rs
+++ b/src/gateway/relay/migration.rs
@@ -4,16 +4,20 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
 use http_body_util::{BodyExt, Limited};
 
 use super::StreamRelay;
 use crate::gateway::attempt::{ResumePoint, SendOutcome, send};
+use crate::gateway::events::MAX_EVENT_BYTES;
 use crate::gateway::links::ConnectionError;
 use crate::names::BackendServerName;
 use crate::platform::engine::{self, CopyError, MigratedKvCache};
 
 /// Maximum size of the response to a KV cache copy.
 const MAX_MIGRATION_RESPONSE_BYTES: usize = 64 << 10;
+/// Maximum size of the events that follow a run's stop, which are buffered until the stream ends.
+const MAX_REST_BYTES: usize = MAX_EVENT_BYTES;
 /// Timeout of each step of a migration: a KV cache copy, or reading the rest of the old stream.
 const MIGRATION_CALL_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Outcome label of a migration that succeeded.
@@ -144,16 +148,15 @@
             self.fail();
         }
         let kv_cache = stopped.map_err(copy_error)?;
-        let rest = tokio::time::timeout(MIGRATION_CALL_TIMEOUT, self.drain_current_run()).await;
-        if rest.is_err() {
-            self.record.send_ended("the stream of the migrated run did not end in time");
-        }
-        self.current_run = None;
-        self.pending = self.splitter.take_complete().map(|events| {
-            self.last_event = events.last_id.or(self.last_event);
-            events.bytes
+        let mut rest = BytesMut::new();
+        let read = tokio::time::timeout(MIGRATION_CALL_TIMEOUT, self.read_rest(&mut rest)).await;
+        self.record.send_ended(match read {
+            Ok(Ok(())) => "moved",
+            Ok(Err(why)) => why,
+            Err(_) => "moved; the stream of the stopped run did not end in time",
         });
-        self.record.send_ended("moved");
+        self.current_run = None;
+        self.pending = (!rest.is_empty()).then(|| rest.freeze());
         self.record.send_started(&choice);
         self.history.record_send(choice.server.clone());
         let last_event = self.last_event;
@@ -206,11 +209,12 @@
         engine::parse_migration_response(source_address, status, &body)
     }
 
-    /// Reads the rest of a stopped run's stream into the splitter.
-    async fn drain_current_run(&mut self) {
-        while let Some((body, _)) = &mut self.current_run
-            && !self.splitter.is_event_too_long()
-        {
+    /// Reads the rest of a stopped run's stream and appends its complete events to `rest`.
+    ///
+    /// # Errors
+    /// If the engine sends something else or does not stop, which may go on without end.
+    async fn read_rest(&mut self, rest: &mut BytesMut) -> Result<(), &'static str> {
+        while let Some((body, _)) = &mut self.current_run {
             match body.frame().await {
                 Some(Ok(frame)) => {
                     if let Some(bytes) = frame.data_ref() {
@@ -218,8 +222,24 @@
                     }
                 }
                 // The stream of a stopped run ends without a final chunk.
-                Some(Err(_)) | None => return,
+                Some(Err(_)) | None => break,
             }
+            self.take_events(rest);
+            if self.splitter.has_foreign_bytes() {
+                return Err("moved; bytes that are no event followed in the stopped run's stream");
+            }
+            if rest.len() > MAX_REST_BYTES || self.splitter.is_event_too_long() {
+                return Err("moved; the rest of the stopped run's stream was too long");
+            }
+        }
+        self.take_events(rest);
+        Ok(())
+    }
+
+    fn take_events(&mut self, rest: &mut BytesMut) {
+        if let Some(events) = self.splitter.take_complete() {
+            self.last_event = events.last_id.or(self.last_event);
+            rest.extend_from_slice(&events.bytes);
         }
     }
 }
--- a/tests/gateway/support/engine.rs
+++ b/tests/gateway/support/engine.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::StreamExt;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderValue;
@@ -18,6 +17,8 @@
 
 /// Time between two events of a stream.
 const EVENT_PERIOD: Duration = Duration::from_millis(300);
+/// Size of one write of an engine that writes without end.
+const FLOOD_BYTES: usize = 64 << 10;
 
 #[derive(Default)]
 struct State {
@@ -25,6 +26,8 @@
     has_exited: bool,
     /// Attempts whose run was stopped by a migration.
     stopped: HashSet<String>,
+    /// Text that is sent without end in place of the end of a stopped run's stream.
+    flood: Option<&'static str>,
     runs: u32,
 }
 
@@ -86,6 +89,11 @@
         self.lock().has_exited = true;
     }
 
+    /// Sends a text without end in place of the end of each stopped run's stream.
+    pub fn flood_after_stop(&self, text: &'static str) {
+        self.lock().flood = Some(text);
+    }
+
     /// Returns the number of requests that the engine executed.
     pub fn runs(&self) -> u32 {
         self.lock().runs
@@ -131,19 +139,34 @@
 
     fn events(&self, attempt: String, after: u64) -> Body {
         let engine = self.clone();
-        let frames = futures::stream::iter(after + 1..=EVENTS).then(move |id| {
+        let frames = futures::stream::unfold(after, move |last| {
             let (engine, attempt) = (engine.clone(), attempt.clone());
-            async move {
-                tokio::time::sleep(EVENT_PERIOD).await;
-                let state = engine.lock();
-                if state.has_exited || state.stopped.contains(&attempt) {
-                    return Err(std::io::Error::other("the run was stopped"));
-                }
-                Ok(Frame::data(Bytes::from(event(&attempt, id))))
-            }
+            async move { Some((engine.next_event(&attempt, last + 1).await?, last + 1)) }
         });
         StreamBody::new(frames).boxed_unsync()
     }
+
+    async fn next_event(&self, attempt: &str, id: u64) -> Option<std::io::Result<Frame<Bytes>>> {
+        let is_stopped = self.lock().stopped.contains(attempt);
+        if id > EVENTS && !is_stopped {
+            return None;
+        }
+        if !is_stopped {
+            tokio::time::sleep(EVENT_PERIOD).await;
+        }
+        let state = self.lock();
+        let text = match state.flood {
+            _ if state.has_exited => return Some(Err(std::io::Error::other("the engine exited"))),
+            Some(flood) if state.stopped.contains(attempt) => {
+                flood.repeat(FLOOD_BYTES / flood.len())
+            }
+            None if state.stopped.contains(attempt) => {
+                return Some(Err(std::io::Error::other("the run was stopped")));
+            }
+            _ => event(attempt, id),
+        };
+        Some(Ok(Frame::data(Bytes::from(text))))
+    }
 }
 
 impl std::fmt::Debug for StandInEngine {
