Give calls whose response names no request a connection of their own

A leaving engine sent second copies of some responses; moves of runs took one for the response to the next call on the connection and sent the stream on with the handle of another run.

Cause: the response to a copy of a run's memory has no attempt ID, and the calls shared pooled connections with each other and with requests. Ruled out: the handle is passed on unchanged; the two copies of a run follow each other.

Change: such a call opens a connection that is dropped after it. No other call to a backend server lacks an ID.

--- a/src/gateway/links.rs
+++ b/src/gateway/links.rs
@@ -197,7 +197,15 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection, ConnectionError> {
+/// Opens a connection.
+///
+/// A call whose response can't be compared with it, as it carries no attempt ID, needs a connection
+/// of its own that is dropped afterwards: on any other, a late copy of an earlier response could be
+/// taken for the one of this call.
+///
+/// # Errors
+/// [`ConnectionError::NotSent`] if the connection can't be opened.
+pub async fn connect(address: SocketAddr) -> Result<Connection, ConnectionError> {
     let not_sent =
         |why: String| ConnectionError::NotSent(format!("connecting to {address} failed: {why}"));
     let socket = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
--- a/src/gateway/relay/migration.rs
+++ b/src/gateway/relay/migration.rs
@@ -10,7 +10,7 @@
 use super::StreamRelay;
 use crate::gateway::attempt::{ResumePoint, SendOutcome, send};
 use crate::gateway::events::MAX_EVENT_BYTES;
-use crate::gateway::links::ConnectionError;
+use crate::gateway::links::{ConnectionError, connect};
 use crate::names::BackendServerName;
 use crate::platform::engine::{self, CopyError, MigratedKvCache};
 
@@ -136,12 +136,12 @@
         // stop only for the remainder.
         let copy_error = |error| MigrationError::Copy(choice.server.clone(), error);
         let target = server.entry.address;
-        self.copy_kv_cache(&from, address, target, false).await.map_err(copy_error)?;
+        self.copy_kv_cache(address, target, false).await.map_err(copy_error)?;
         // A refused copy sends no request, so it takes nothing from the budget.
         if !self.cx.take_retry(&service.name) {
             return Err(MigrationError::BudgetExhausted);
         }
-        let stopped = self.copy_kv_cache(&from, address, target, true).await;
+        let stopped = self.copy_kv_cache(address, target, true).await;
         let may_be_stopped = matches!(&stopped, Err(error) if *error != CopyError::RunEnded);
         if may_be_stopped && self.ends_with_connection {
             // The end of a run that was stopped would look like a regular one.
@@ -177,7 +177,6 @@
 
     async fn copy_kv_cache(
         &self,
-        source: &BackendServerName,
         source_address: SocketAddr,
         target_address: SocketAddr,
         stops_run: bool,
@@ -186,14 +185,13 @@
         let req = engine::migration_request(source_address, attempt, target_address, stops_run)
             .map_err(|error| CopyError::Failed(error.to_string()))?;
         let call = async {
-            let mut connection =
-                self.cx.pool.acquire(source, source_address, MIGRATION_CALL_TIMEOUT).await?;
+            // The response doesn't say which run it is about.
+            let mut connection = connect(source_address).await?;
             let (parts, body) = connection.send(req).await?.into_parts();
             let body = Limited::new(body, MAX_MIGRATION_RESPONSE_BYTES)
                 .collect()
                 .await
                 .map_err(|error| ConnectionError::NoResponse(error.to_string()))?;
-            self.cx.release_connection(&self.request.service, source, connection);
             Ok((parts.status, body.to_bytes()))
         };
         let result: Result<_, ConnectionError> =
--- a/tests/gateway/migration.rs
+++ b/tests/gateway/migration.rs
@@ -1,14 +1,16 @@
 //! Migration of running streams from engines that leave.
 
+use std::collections::{HashSet, VecDeque};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use rstest::rstest;
 use serde_json::{Value, json};
 
-use crate::support::engine::{Engines, StandInEngine};
+use crate::support::engine::{EVENT_PERIOD, Engines, StandInEngine};
 use crate::support::instance::{ATTEMPT_ID, InstanceSettings};
-use crate::support::runner::full_stream;
-use crate::support::{Instance, StandInStore, config};
+use crate::support::runner::{EVENTS, event, full_stream};
+use crate::support::{Instance, RawConnection, RawRequest, RawServer, StandInStore, config};
 
 /// Time from the notice that an engine leaves to its exit.
 const NOTICE_TIME: Duration = Duration::from_millis(2_000);
@@ -33,10 +35,17 @@
 }
 
 async fn fixture() -> Fixture {
-    let (store, engines) = (StandInStore::start().await, Engines::default());
+    let engines = Engines::default();
     let leaving = engines.start("leaving", true).await;
+    let entry = leaving.entry("kolkata-a", "ready");
+    fixture_with(engines, leaving, entry).await
+}
+
+/// Returns a fixture whose store lists the given entry for the leaving engine.
+async fn fixture_with(engines: Engines, leaving: StandInEngine, entry: Value) -> Fixture {
+    let store = StandInStore::start().await;
     store.put("config", "main", engine_config());
-    store.put("servers", "leaving", leaving.entry("kolkata-a", "ready"));
+    store.put("servers", "leaving", entry);
     let cfg = InstanceSettings { store: store.address, ..Default::default() };
     let instance = Instance::start(cfg).await;
     Fixture { store, engines, leaving, instance }
@@ -57,13 +66,7 @@
         attempts: &[String],
         others: &[(&str, bool, &str)],
     ) -> (Vec<Result<String, String>>, Vec<StandInEngine>) {
-        let streams = attempts.iter().map(|attempt| async move {
-            let mut req = self.instance.request("/stream/1", "key").build().expect("it is valid");
-            let id = attempt.parse().expect("the ID is a valid header");
-            req.headers_mut().insert("x-laburnumvalve-attempt-id", id);
-            self.instance.execute(req).await.expect("there is a response")
-        });
-        let streams = futures::future::join_all(streams).await;
+        let streams = self.start_streams(attempts).await;
         let mut engines = Vec::new();
         for (name, has_room, data_centre) in others {
             engines.push(self.add(name, *has_room, data_centre).await);
@@ -79,6 +82,16 @@
         let (texts, ()) = tokio::join!(futures::future::join_all(texts), exit);
         (texts, engines)
     }
+
+    async fn start_streams(&self, attempts: &[String]) -> Vec<reqwest::Response> {
+        let streams = attempts.iter().map(|attempt| async move {
+            let mut req = self.instance.request("/stream/1", "key").build().expect("it is valid");
+            let id = attempt.parse().expect("the ID is a valid header");
+            req.headers_mut().insert("x-laburnumvalve-attempt-id", id);
+            self.instance.execute(req).await.expect("there is a response")
+        });
+        futures::future::join_all(streams).await
+    }
 }
 
 #[tokio::test]
@@ -134,3 +147,104 @@
         assert_eq!(events, Ok(full_stream(attempt)));
     }
 }
+
+/// Time that a copy of a run's memory takes.
+const COPY_TIME: Duration = Duration::from_millis(60);
+
+/// Number of further times that an engine sends a response: one for each copy of a run.
+const REPEATED: usize = 2;
+
+/// Starts an engine that sends the response to the first copy on a connection again, so that each
+/// later response to a copy there is that of an earlier run.
+async fn engine_repeating_a_copy() -> RawServer {
+    let stopped: Arc<Mutex<HashSet<String>>> = Arc::default();
+    RawServer::start(move |mut connection: RawConnection| {
+        let stopped = stopped.clone();
+        async move {
+            let mut due = VecDeque::new();
+            while let Some(req) = connection.read_any_request().await {
+                if let Some(attempt) = &req.attempt {
+                    return stream_until_stopped(&mut connection, attempt, &stopped).await;
+                }
+                tokio::time::sleep(COPY_TIME).await;
+                let rsp = copy_response(&req, &stopped);
+                if due.is_empty() {
+                    due.extend(vec![rsp.clone(); REPEATED]);
+                }
+                due.push_back(rsp);
+                let next = due.pop_front().expect("a response was added");
+                if !connection.write(next.as_bytes()).await {
+                    return;
+                }
+            }
+        }
+    })
+    .await
+}
+
+/// Returns the response to a copy of a run's memory, whose handle names the run.
+fn copy_response(req: &RawRequest, stopped: &Mutex<HashSet<String>>) -> String {
+    let call: Value = serde_json::from_slice(&req.body).expect("the call is JSON");
+    let id = call["id"].as_str().expect("the call names the run");
+    if call["last"] == true {
+        stopped.lock().expect("no lock holder panicked").insert(id.to_owned());
+    }
+    let body = json!({ "handle": id, "created": 1 }).to_string();
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Sends events in chunks until the run is stopped, and then ends without a final chunk.
+async fn stream_until_stopped(
+    connection: &mut RawConnection,
+    attempt: &str,
+    stopped: &Mutex<HashSet<String>>,
+) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-laburnumvalve-attempt-id: {attempt}\r\n\
+         x-laburnumvalve-response-seal: seal\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    connection.write(head.as_bytes()).await;
+    for id in 1..=EVENTS {
+        if stopped.lock().expect("no lock holder panicked").contains(attempt) {
+            return;
+        }
+        let event = event(attempt, id);
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        if !connection.write(chunk.as_bytes()).await {
+            return;
+        }
+        tokio::time::sleep(EVENT_PERIOD).await;
+    }
+    connection.write(b"0\r\n\r\n").await;
+}
+
+/// Guards against a stream that goes on from the memory of another caller's run, because a late
+/// second response of an engine was taken for that of the next call.
+#[tokio::test]
+async fn late_second_response_to_a_copy_is_not_taken_for_another_one() {
+    let repeating = engine_repeating_a_copy().await;
+    let mut entry = repeating.entry();
+    let engines = Engines::default();
+    let unused = engines.start("unused", true).await;
+    let fx = fixture_with(engines, unused, entry.clone()).await;
+    let attempts = attempts(CONCURRENT_STREAMS);
+    let streams = fx.start_streams(&attempts).await;
+    let roomy = fx.add("roomy", true, "kolkata-a").await;
+
+    entry["state"] = "draining".into();
+    fx.store.put("servers", "leaving", entry);
+    let texts = streams
+        .into_iter()
+        .map(|rsp| async { rsp.text().await.map_err(|error| error.to_string()) });
+    let texts = futures::future::join_all(texts).await;
+
+    let continued = roomy.continued();
+    assert!(!continued.is_empty(), "no run was moved");
+    for (attempt, memory) in continued {
+        let handle = memory.split('/').nth(1);
+        assert_eq!(handle, Some(attempt.as_str()), "{attempt} went on from another run's memory");
+    }
+    for (attempt, text) in attempts.iter().zip(texts) {
+        assert_eq!(text, Ok(full_stream(attempt)));
+    }
+}
--- a/tests/gateway/support/engine.rs
+++ b/tests/gateway/support/engine.rs
@@ -16,7 +16,7 @@
 use super::{Body, dropped_response, full, serve, server_entry};
 
 /// Time between two events of a stream.
-const EVENT_PERIOD: Duration = Duration::from_millis(300);
+pub const EVENT_PERIOD: Duration = Duration::from_millis(300);
 /// Size of one write of an engine that writes without end.
 const FLOOD_BYTES: usize = 64 << 10;
 
@@ -29,6 +29,8 @@
     /// Text that is sent without end in place of the end of a stopped run's stream.
     flood: Option<&'static str>,
     runs: u32,
+    /// Attempts that went on from the memory of a run, with the reference to that memory.
+    continued: Vec<(String, String)>,
 }
 
 /// Engines by address, which find each other to copy a run's KV cache.
@@ -99,6 +101,11 @@
         self.lock().runs
     }
 
+    /// Returns the attempts that went on from the memory of a run, with the reference to it.
+    pub fn continued(&self) -> Vec<(String, String)> {
+        self.lock().continued.clone()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no lock holder panicked")
     }
@@ -115,7 +122,12 @@
         let text = |name: &str| parts.headers.get(name).and_then(|value| value.to_str().ok());
         let attempt = text("x-laburnumvalve-attempt-id").unwrap_or_default().to_owned();
         let after = text("last-event-id").and_then(|id| id.parse().ok()).unwrap_or_default();
-        self.lock().runs += 1;
+        let mut state = self.lock();
+        state.runs += 1;
+        if let Some(memory) = text("kv-from") {
+            state.continued.push((attempt.clone(), memory.to_owned()));
+        }
+        drop(state);
         let mut rsp = Response::new(self.events(attempt.clone(), after));
         let headers = rsp.headers_mut();
         let id = HeaderValue::from_str(&attempt).expect("the ID came in a header");
--- a/tests/gateway/support/mod.rs
+++ b/tests/gateway/support/mod.rs
@@ -25,7 +25,7 @@
 use tokio::net::TcpListener;
 
 pub use instance::Instance;
-pub use raw::{RawConnection, RawServer};
+pub use raw::{RawConnection, RawRequest, RawServer};
 pub use runner::{Fault, StandInBackend};
 pub use store::StandInStore;
 
--- a/tests/gateway/support/raw.rs
+++ b/tests/gateway/support/raw.rs
@@ -25,6 +25,14 @@
     open: Arc<AtomicUsize>,
 }
 
+/// A request that a [`RawServer`] received.
+pub struct RawRequest {
+    /// Attempt ID, if there is one.
+    pub attempt: Option<String>,
+    /// Complete body.
+    pub body: Vec<u8>,
+}
+
 impl RawServer {
     /// Starts a server that handles each connection with `handler`.
     pub async fn start<F, R>(handler: F) -> Self
@@ -58,9 +66,13 @@
 }
 
 impl RawConnection {
-    /// Reads a request without a body or with a length, and returns its attempt ID; `None` if the
-    /// connection was closed.
+    /// Reads a request of a caller, and returns its attempt ID; `None` if the connection was closed.
     pub async fn read_request(&mut self) -> Option<String> {
+        self.read_any_request().await?.attempt
+    }
+
+    /// Reads a request without a body or with a length; `None` if the connection was closed.
+    pub async fn read_any_request(&mut self) -> Option<RawRequest> {
         let head_end = loop {
             let end = self.buf.windows(4).position(|bytes| bytes == b"\r\n\r\n");
             match end {
@@ -77,8 +89,9 @@
         while self.buf.len() < head_end + length {
             self.read_more().await?;
         }
-        self.buf.drain(..head_end + length);
-        field("x-laburnumvalve-attempt-id:")
+        let attempt = field("x-laburnumvalve-attempt-id:");
+        let body = self.buf.drain(..head_end + length).skip(head_end).collect();
+        Some(RawRequest { attempt, body })
     }
 
     async fn read_more(&mut self) -> Option<()> {
