Wait for what isn't available yet at the start instead of ending

Reproduced here with real processes: a gateway ends at once, and again at each restart, if a port is taken by another process or by an outgoing connection of any process of the host, or if its settings are just being written; SIGHUP ends it in its first milliseconds.

Cause: one try for each port and for the settings; the handler of SIGHUP was installed by the last task.

Change: addresses in use or not there yet are awaited, unreadable settings for 3 s; SIGHUP and SIGTERM are caught before anything else; the callers' address is bound last, metrics beside the service. Errors that can't go away end the process as before.

--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -3,8 +3,11 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::time::Duration;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
+use eyre::WrapErr;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,11 +20,39 @@
 /// Delay after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// Period at which an address that is not available is tried again.
+const BIND_RETRY_PERIOD: Duration = Duration::from_millis(100);
+/// Period of log lines about an address that stays unavailable.
+const BIND_LOG_PERIOD: Duration = Duration::from_secs(10);
 /// Time without a request after which a connection is closed; clients close theirs earlier.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Maximum size of a connection's read buffer, and thereby of a request head.
 const READ_BUFFER_BYTES: usize = 32 << 10;
 
+/// Listens on an address, and waits while that is not available: an earlier process of the instance
+/// may still end, an outgoing connection may have taken the port, or the host may not have the
+/// address yet. `interface` is shown in log lines.
+///
+/// # Errors
+/// If the address can never be used, such as for lack of permission.
+pub async fn bind(address: SocketAddr, interface: &'static str) -> eyre::Result<TcpListener> {
+    let mut logged_at: Option<Instant> = None;
+    loop {
+        let error = match TcpListener::bind(address).await {
+            Ok(listener) => return Ok(listener),
+            Err(error) => error,
+        };
+        if !matches!(error.kind(), ErrorKind::AddrInUse | ErrorKind::AddrNotAvailable) {
+            return Err(error).wrap_err_with(|| format!("listening on {address} for {interface}"));
+        }
+        if logged_at.is_none_or(|at| at.elapsed() >= BIND_LOG_PERIOD) {
+            logged_at = Some(Instant::now());
+            tracing::warn!(of = interface, %address, %error, "address not available; trying again");
+        }
+        tokio::time::sleep(BIND_RETRY_PERIOD).await;
+    }
+}
+
 /// Accepts the next connection; `interface` is shown in log lines.
 pub async fn accept(listener: &TcpListener, interface: &'static str) -> TcpStream {
     loop {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -6,13 +6,13 @@
 
 use eyre::WrapErr;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::duty::{self, DutyLease};
 use super::ingress::{self, ACCEPT_GRACE};
 use super::settings::GatewaySettings;
 use super::shared::{InstanceState, ShutdownTimes};
-use super::{evidence, peers, pulls, roster, scaling, status, sync, usage};
+use super::{evidence, listen, peers, pulls, roster, scaling, status, sync, usage};
 use crate::clock::{BootTime, wall_millis};
 use crate::platform::duties::DutyClient;
 use crate::platform::settings::parse;
@@ -24,6 +24,10 @@
 const SWEEP_PERIOD: Duration = Duration::from_millis(500);
 /// Period at which the settings file is checked for changes.
 const SETTINGS_CHECK_PERIOD: Duration = Duration::from_secs(2);
+/// Time for which a start waits for settings that can be read, as the file may still be written.
+const SETTINGS_WAIT: Duration = Duration::from_secs(3);
+/// Period at which a start reads the settings again.
+const SETTINGS_RETRY_PERIOD: Duration = Duration::from_millis(100);
 /// Part of the shutdown grace period that is reserved for releasing the lease and exiting.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
 /// Period at which a shutdown checks for open connections.
@@ -39,19 +43,78 @@
     parse(&text).wrap_err_with(|| format!("parsing settings file {}", path.display()))
 }
 
+/// Signals to which an instance reacts.
+#[derive(Debug)]
+pub struct Signals {
+    hangup: Signal,
+    terminate: Signal,
+}
+
+impl Signals {
+    /// Begins to catch the signals; one that comes before ends the process.
+    ///
+    /// # Errors
+    /// If a handler can't be installed.
+    pub fn catch() -> std::io::Result<Self> {
+        let hangup = signal(SignalKind::hangup())?;
+        Ok(Self { hangup, terminate: signal(SignalKind::terminate())? })
+    }
+}
+
+/// What an instance needs before it can begin.
+struct Prepared {
+    cfg: GatewaySettings,
+    peers: TcpListener,
+    ready: TcpListener,
+    callers: TcpListener,
+}
+
+/// Reads the settings and binds the sockets, and waits for those that are not available yet.
+///
+/// # Errors
+/// If the settings stay unreadable, or a socket can never be bound.
+async fn prepare(path: &Path) -> eyre::Result<Prepared> {
+    let cfg = await_settings(path).await?;
+    let peers = listen::bind(cfg.peer_address, "peers").await?;
+    let ready = listen::bind(cfg.ready_address, "readiness").await?;
+    // Last, as callers that are not served should go elsewhere at once.
+    let callers = listen::bind(cfg.request_address, "callers").await?;
+    Ok(Prepared { cfg, peers, ready, callers })
+}
+
+async fn await_settings(path: &Path) -> eyre::Result<GatewaySettings> {
+    let started_at = Instant::now();
+    let mut is_first = true;
+    loop {
+        match read_settings(path) {
+            Err(error) if started_at.elapsed() < SETTINGS_WAIT => {
+                if std::mem::take(&mut is_first) {
+                    let error = format!("{error:#}");
+                    tracing::warn!(error, "settings can't be read; trying again");
+                }
+                tokio::time::sleep(SETTINGS_RETRY_PERIOD).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Runs an instance until it receives SIGTERM, and then until its connections are drained or the
 /// grace period ends.
 ///
 /// # Errors
 /// If the settings are invalid, a socket can't be bound, or an HTTP client can't be created.
-pub async fn run(path: PathBuf) -> eyre::Result<()> {
-    let cfg = read_settings(&path)?;
-    let mut terminate = signal(SignalKind::terminate())?;
+pub async fn run(path: PathBuf, signals: Signals) -> eyre::Result<()> {
+    let Signals { hangup, mut terminate } = signals;
+    let prepared = tokio::select! {
+        prepared = prepare(&path) => prepared?,
+        _ = terminate.recv() => {
+            tracing::info!("stopped before the start was complete");
+            return Ok(());
+        }
+    };
+    let Prepared { cfg, peers: peer_listener, ready: ready_listener, callers } = prepared;
     let store = Store::new(cfg.store_address)?;
-    let caller_listener = bind(cfg.request_address).await?;
-    let ready_listener = bind(cfg.ready_address).await?;
-    let metrics_listener = bind(cfg.metrics_address).await?;
-    let peer_listener = bind(cfg.peer_address).await?;
     tracing::info!(instance = %cfg.instance, data_centre = %cfg.data_centre, "started");
     let cx = Rc::new(InstanceState::new(cfg));
     let timer = Timer::start();
@@ -81,10 +144,10 @@
         tokio::task::spawn_local(report);
     }
     tokio::task::spawn_local(status::serve(cx.clone(), ready_listener));
-    tokio::task::spawn_local(status::serve(cx.clone(), metrics_listener));
-    tokio::task::spawn_local(ingress::accept(cx.clone(), caller_listener));
+    tokio::task::spawn_local(serve_metrics(cx.clone()));
+    tokio::task::spawn_local(ingress::accept(cx.clone(), callers));
     tokio::task::spawn_local(sweep(cx.clone(), timer.clone()));
-    tokio::task::spawn_local(reload(cx.clone(), timer, path));
+    tokio::task::spawn_local(reload(cx.clone(), timer, path, hangup));
     terminate.recv().await;
     shut_down(&cx).await;
     if let Err(error) = lease_task.await {
@@ -93,8 +156,12 @@
     Ok(())
 }
 
-async fn bind(address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address).await.wrap_err_with(|| format!("listening on {address}"))
+/// Serves metrics as soon as their address is available; requests don't wait for that.
+async fn serve_metrics(cx: Rc<InstanceState>) {
+    match listen::bind(cx.cfg().metrics_address, "metrics").await {
+        Ok(listener) => status::serve(cx, listener).await,
+        Err(error) => tracing::error!(error = %format!("{error:#}"), "metrics are not served"),
+    }
 }
 
 async fn sweep(cx: Rc<InstanceState>, timer: Timer) {
@@ -109,14 +176,7 @@
 }
 
 /// Reloads the settings on SIGHUP and when the file has changed.
-async fn reload(cx: Rc<InstanceState>, timer: Timer, path: PathBuf) {
-    let mut hangup = match signal(SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            tracing::error!(%error, "SIGHUP can't be handled; settings are not reloaded");
-            return;
-        }
-    };
+async fn reload(cx: Rc<InstanceState>, timer: Timer, path: PathBuf, mut hangup: Signal) {
     let mut ticks = timer.every(SETTINGS_CHECK_PERIOD);
     let modification_time =
         |path: &Path| std::fs::metadata(path).and_then(|meta| meta.modified()).ok();
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 use laburnumvalve::cli::{
     self, Command, EXIT_FAILURE, EXIT_SUCCESS, EXIT_USAGE, GatewayArgs, UsageError,
 };
+use laburnumvalve::gateway::run::Signals;
 use laburnumvalve::options::{Options, SETTINGS};
 use laburnumvalve::serve::{self, Sockets};
 use laburnumvalve::{explain, gateway, log, operate};
@@ -40,10 +41,14 @@
 
 /// Runs a gateway on a single-threaded runtime, since its machines have a fraction of a core.
 fn run_gateway(args: GatewayArgs) -> eyre::Result<()> {
-    let _writer = log::init_json(&args.log_filter)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let signals = {
+        let _context = runtime.enter();
+        Signals::catch()?
+    };
+    let _writer = log::init_json(&args.log_filter)?;
     let tasks = tokio::task::LocalSet::new();
-    runtime.block_on(tasks.run_until(gateway::run::run(args.settings)))
+    runtime.block_on(tasks.run_until(gateway::run::run(args.settings, signals)))
 }
 
 fn print_settings(options: &Options) {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod serve;
 mod size;
 mod soak;
+mod start;
 mod support;
 mod surplus;
 mod trouble;
--- a/tests/gateway/support/instance.rs
+++ b/tests/gateway/support/instance.rs
@@ -144,6 +144,21 @@
         self.child = start_process(self.settings.path(), &self.log);
     }
 
+    /// Replaces the settings file and returns its former text.
+    pub fn replace_settings(&self, text: &str) -> String {
+        let former = std::fs::read_to_string(self.settings.path()).expect("the file can be read");
+        std::fs::write(self.settings.path(), text).expect("the file can be written");
+        former
+    }
+
+    /// Returns the bits of the signals that the process catches; `None` once it has ended.
+    pub fn caught_signals(&self) -> Option<u64> {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).ok()?;
+        let bits = text.lines().find_map(|line| line.strip_prefix("SigCgt:"))?;
+        u64::from_str_radix(bits.trim(), 16).ok()
+    }
+
     /// Kills the process at once.
     pub fn kill(&mut self) {
         // The process may have exited already.
