Count an answer with an impossible status as lost

Cause: any status that the HTTP library parses was passed on, if ID and seal were right. 000, statuses below 100 and text in their place never were: the library refuses them. Change: a response with a status outside 200 to 599 counts as none.

Red before: broken_answers::answer_with_an_impossible_status_counts_as_lost, 3 of 8 cases (600, 999, 101). After: green. Not reproduced here, and now guarded by tests: a part of an answer without a length that is reset during the upload (4 cases of 12 requests with cuts after 0 to 25 ms; the library reports the failed upload to the reader of the answer), and an answer that is cut within its head (6 cases).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -340,7 +340,8 @@
         ResponseKind::Invalid => {
             run.fail();
             SendOutcome::Unknown(
-                "the response has a wrong or no attempt ID, no seal, or a content encoding"
+                "the response has a wrong or no attempt ID, no seal, a content encoding, or an \
+                 impossible status"
                     .to_owned(),
             )
         }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,6 +1,7 @@
 //! Conversion of the platform's request and response headers from and to types of this program.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::time::Duration;
 
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
@@ -60,6 +61,9 @@
     "expect",
 ];
 
+/// Statuses of final responses in HTTP.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Lowest urgency, which has the highest number.
 const LOWEST_URGENCY: u8 = 9;
 
@@ -104,8 +108,8 @@
     NotRun,
     /// The address now belongs to another server; the request has not run.
     Misdirected,
-    /// Not provably the response to this request: it has a wrong or no attempt ID, no seal, or a
-    /// content encoding.
+    /// Not provably the response to this request: it has a wrong or no attempt ID, no seal, a content
+    /// encoding, or a status that no final response has.
     Invalid,
     /// A failure whose status would tell a caller that the request has not run, without the header
     /// that proves it.
@@ -212,7 +216,7 @@
     let status = rsp.status();
     // A faulty server may send an earlier response again, so nothing of a response counts, the
     // refusals included, before its ID is the one of this request.
-    if headers.get(&ATTEMPT_ID) != attempt {
+    if headers.get(&ATTEMPT_ID) != attempt || !FINAL_STATUSES.contains(&status.as_u16()) {
         return ResponseKind::Invalid;
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gateway processes with stand-ins for the platform's store and the backend servers.
 
+mod broken_answers;
 mod drain;
 mod entries;
 mod logs;
--- a/tests/gateway/support/raw.rs
+++ b/tests/gateway/support/raw.rs
@@ -94,6 +94,28 @@
         Some(RawRequest { attempt, body })
     }
 
+    /// Reads the head of a request but not its body, and returns the attempt ID; `None` if the
+    /// connection was closed.
+    pub async fn read_request_head(&mut self) -> Option<String> {
+        while !self.buf.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+            self.read_more().await?;
+        }
+        let head = String::from_utf8_lossy(&self.buf).to_ascii_lowercase();
+        let line = head.lines().find_map(|line| line.strip_prefix("x-laburnumvalve-attempt-id:"));
+        line.map(|value| value.trim().to_owned())
+    }
+
+    /// Writes bytes although the other side may still be sending.
+    pub async fn write_unread(&mut self, bytes: &[u8]) {
+        // A connection that was closed meanwhile is a part of the tests.
+        let _ = self.socket.write_all(bytes).await;
+    }
+
+    /// Resets the connection.
+    pub fn reset(self) {
+        self.socket.set_zero_linger().expect("the socket is open");
+    }
+
     async fn read_more(&mut self) -> Option<()> {
         let read = self.socket.read_buf(&mut self.buf).await;
         read.is_ok_and(|count| count > 0).then_some(())
