Bound the memory that callers' connections and bodies take together

With real processes and release builds: 3,800 open connections took 63 MB, with a request of 8 KB on each 98 MB, before anything is sent to backend servers; 24 bodies of 4 MB more than 110 MB.

Cause: connections were bounded by descriptors only, bodies one by one. Ruled out: the copies of the platform's state, log lines, and bytes of backend servers, which have bounds.

Change: limits.memory-mb is read; connections take half of it at most, bodies over 16 KB a fourth; a connection that can't be accepted waits in the queue, a body without memory is refused as not run after two fifths of the caller's time. The state of a request is allocated when it begins.

Red before: memory::open_connections_take_a_part_of_the_memory (131 MB of 110), memory::large_bodies_at_once_take_a_ part_of_the_memory (148 MB with a length, 135 MB in chunks). After: green.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
 use super::handle::recheck_key;
 use super::links::{Connection, ConnectionError};
 use super::shared::InstanceState;
+use super::upload::Upload;
 use crate::names::{BackendServerName, OrganisationName};
 use crate::platform::engine::MigratedKvCache;
 use crate::platform::headers::{self, RequestHead, ResponseKind, SendHead};
@@ -54,7 +55,7 @@
     /// Headers to forward to the backend server.
     pub headers: HeaderMap,
     /// Complete request body.
-    pub body: Bytes,
+    pub body: Upload,
     /// When the request head was received.
     pub received_at: Instant,
     /// When the final response is due.
@@ -300,7 +301,7 @@
 }
 
 fn build_request(request: &AdmittedRequest, head: &SendHead<'_>) -> Request<Full<Bytes>> {
-    let mut req = Request::new(Full::new(request.body.clone()));
+    let mut req = Request::new(Full::new(request.body.bytes.clone()));
     *req.method_mut() = request.method.clone();
     *req.uri_mut() = request.uri.clone();
     *req.headers_mut() = request.headers.clone();
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -32,7 +32,7 @@
     metrics.set_gauge("instances_listed", INSTANCE_LABEL, cx.members.borrow().count() as u64);
     metrics.set_gauge("reads_store", INSTANCE_LABEL, u64::from(*cx.reads_store.borrow()));
     metrics.set_gauge("store_away", INSTANCE_LABEL, u64::from(cx.is_store_unavailable()));
-    metrics.set_gauge("open_connections", INSTANCE_LABEL, cx.open_connections.get() as u64);
+    metrics.set_gauge("open_connections", INSTANCE_LABEL, *cx.open_connections.borrow() as u64);
     metrics.set_gauge("log_lines_dropped", INSTANCE_LABEL, dropped_lines());
     let (suspected, quarantined) = cx.evidence.counts();
     metrics.set_gauge("prompt_parts_suspected", INSTANCE_LABEL, suspected as u64);
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 
@@ -25,8 +25,8 @@
 /// Maximum time that a request waits for the first configuration; an instance that starts beside
 /// others has it earlier.
 const MAX_START_WAIT: Duration = Duration::from_millis(500);
-/// Fraction of the caller's timeout that a request waits for the first configuration at most; the
-/// rest is left for the request or another attempt of the caller.
+/// Fraction of the caller's timeout that a request waits at most for the first configuration, or for
+/// the memory for its body; the rest is left for the request or another attempt of the caller.
 const START_WAIT_FRACTION: f64 = 0.4;
 /// Maximum size of a non-streaming response, which is buffered before it is forwarded.
 const MAX_BUFFERED_RESPONSE_BYTES: usize = 256 << 10;
@@ -87,8 +87,9 @@
         record.set_organisation(&organisation.name);
     }
     let (parts, body) = req.into_parts();
-    let body = read_body(body, catalog.limits.max_body).await?;
-    head.demand.body_bytes = body.len();
+    let max_wait = head.timeout.unwrap_or(DEFAULT_TIMEOUT).mul_f64(START_WAIT_FRACTION);
+    let body = cx.bodies.read(body, catalog.limits.max_body, max_wait, REFUSED_NOT_RUN).await?;
+    head.demand.body_bytes = body.bytes.len();
     let service = route.pick_service(rand::random()).and_then(|name| catalog.service(name));
     let Some(service) = service.cloned() else {
         record.set_reason("the configuration defines no service for the route");
@@ -157,14 +158,6 @@
     organisation.cloned().map(Some).ok_or(Refusal::UnknownKey)
 }
 
-async fn read_body(body: Incoming, max: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, max).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Err(_) => Err(Refusal::BodyBroken),
-    }
-}
-
 /// Sends a request, with retries, until there is a response or no further attempt is allowed.
 async fn serve(
     cx: &Rc<InstanceState>,
--- a/src/gateway/ingress.rs
+++ b/src/gateway/ingress.rs
@@ -23,23 +23,61 @@
 /// afterwards.
 pub const ACCEPT_GRACE: Duration = Duration::from_millis(2_600);
 
-/// Accepts connections until the process exits.
+/// Fraction of the maximum number of connections from which each is closed after a response, so that
+/// idle ones make room.
+const CROWDED_FRACTION: f64 = 0.75;
+
+/// Accepts connections until the process exits. While there are as many as the memory allows, further
+/// ones wait in the queue of the listener.
 pub async fn accept(cx: Rc<InstanceState>, listener: TcpListener) {
     loop {
+        wait_for_room(&cx).await;
         let socket = listen::accept(&listener, "callers").await;
         // Counted before the task runs, so that a shutdown doesn't miss it.
-        cx.open_connections.set(cx.open_connections.get() + 1);
-        tokio::task::spawn_local(serve(cx.clone(), socket));
+        let open = OpenConnection::count(&cx);
+        tokio::task::spawn_local(serve(cx.clone(), socket, open));
+    }
+}
+
+async fn wait_for_room(cx: &InstanceState) {
+    let max = cx.cfg().max_connections();
+    if *cx.open_connections.borrow() < max {
+        return;
+    }
+    tracing::warn!(max, "as many connections of callers as the memory allows; accepting no more");
+    // Fails only after the sender is dropped, and `cx` keeps it alive.
+    let _ = cx.open_connections.subscribe().wait_for(|open| *open < max).await;
+}
+
+fn is_crowded(cx: &InstanceState) -> bool {
+    let max = cx.cfg().max_connections() as f64;
+    *cx.open_connections.borrow() as f64 >= max * CROWDED_FRACTION
+}
+
+/// An open connection of a caller; counted until dropped.
+struct OpenConnection(Rc<InstanceState>);
+
+impl OpenConnection {
+    fn count(cx: &Rc<InstanceState>) -> Self {
+        cx.open_connections.send_modify(|open| *open += 1);
+        Self(cx.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.send_modify(|open| *open -= 1);
     }
 }
 
 /// Serves a connection until it is closed.
-async fn serve(cx: Rc<InstanceState>, socket: TcpStream) {
+async fn serve(cx: Rc<InstanceState>, socket: TcpStream, _open: OpenConnection) {
     if let Err(error) = socket.set_nodelay(true) {
         tracing::debug!(%error, "setting TCP_NODELAY failed");
     }
     let limits = cx.catalog().limits;
-    let service = service_fn(|req| respond(cx.clone(), req));
+    // Boxed, as a connection reserves the size of its service's future also while it is idle.
+    let service = service_fn(|req| Box::pin(respond(cx.clone(), req)));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
@@ -64,7 +102,6 @@
     if let Err(error) = result {
         tracing::debug!(%error, "connection of a caller ended with an error");
     }
-    cx.open_connections.set(cx.open_connections.get() - 1);
 }
 
 async fn respond(
@@ -72,7 +109,7 @@
     req: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
     let mut rsp = handle(cx.clone(), req).await;
-    if cx.is_draining() {
+    if cx.is_draining() || is_crowded(&cx) {
         rsp.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(rsp)
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod state;
 pub mod status;
 pub mod sync;
-pub mod usage;
+pub mod upload;
+mod usage;
 
 pub use settings::GatewaySettings;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -212,7 +212,7 @@
 /// Drains the connections of callers, at most until shortly before the end of the grace period.
 async fn shut_down(cx: &Rc<InstanceState>) {
     let signalled_at = Instant::now();
-    tracing::info!(connections = cx.open_connections.get(), "shutting down");
+    tracing::info!(connections = *cx.open_connections.borrow(), "shutting down");
     let grace = cx.cfg().shutdown_grace.saturating_sub(SHUTDOWN_MARGIN);
     let admit_all_until = signalled_at + ACCEPT_GRACE;
     cx.shutdown.set(Some(ShutdownTimes { admit_all_until, exit_at: signalled_at + grace }));
@@ -220,10 +220,10 @@
     loop {
         tokio::time::sleep(SHUTDOWN_POLL_PERIOD).await;
         let waited = signalled_at.elapsed();
-        let is_done = cx.open_connections.get() == 0 && waited > ACCEPT_GRACE;
+        let is_done = *cx.open_connections.borrow() == 0 && waited > ACCEPT_GRACE;
         if is_done || waited > grace {
             break;
         }
     }
-    tracing::info!(connections = cx.open_connections.get(), "stopped");
+    tracing::info!(connections = *cx.open_connections.borrow(), "stopped");
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -9,6 +9,16 @@
 use crate::routing::cold::ColdSettings;
 use crate::routing::scaling::ScalingSettings;
 
+/// Memory of a host that states none, in bytes.
+const DEFAULT_MAX_MEMORY: usize = 256 << 20;
+/// Memory that a connection of a caller takes with a small request, in bytes: the buffers of the HTTP
+/// library on it and on the connection to a backend server, the body, and the state of the request.
+const CONNECTION_BYTES: usize = 40 << 10;
+
+/// Part of the memory that large bodies of callers may take: a fourth, as a body that is being read may
+/// take twice its size for a moment.
+const BODY_MEMORY_DIVISOR: usize = 4;
+
 /// Settings of a gateway instance.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -32,6 +42,8 @@
     pub duties_address: Option<SocketAddr>,
     /// Maximum time for which a withdrawn key is still accepted.
     pub max_withdrawal_delay: Duration,
+    /// Memory above which the process is killed, in bytes.
+    pub max_memory: usize,
     /// Time from SIGTERM until the process is killed.
     pub shutdown_grace: Duration,
     /// Term of the duty lease.
@@ -51,6 +63,17 @@
 }
 
 impl GatewaySettings {
+    /// Returns the maximum number of open connections of callers, which together take half of the
+    /// memory at most.
+    pub fn max_connections(&self) -> usize {
+        (self.max_memory / 2 / CONNECTION_BYTES).max(1)
+    }
+
+    /// Returns the memory that large bodies of callers may take together, in bytes.
+    pub fn max_body_memory(&self) -> usize {
+        self.max_memory / BODY_MEMORY_DIVISOR
+    }
+
     /// Returns whether this instance can start from the state of a seed, and is none itself.
     pub fn has_other_seed(&self) -> bool {
         !self.seeds.is_empty() && !self.seeds.contains(&self.peer_address)
@@ -71,6 +94,7 @@
             store_address: unset,
             duties_address: None,
             max_withdrawal_delay: Duration::from_secs(5),
+            max_memory: DEFAULT_MAX_MEMORY,
             shutdown_grace: Duration::from_secs(8),
             lease_term: Duration::from_secs(3),
             usage_window: Duration::from_secs(5),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -11,6 +11,7 @@
 use super::evidence::SharedEvidence;
 use super::links::{Connection, ConnectionPool, max_idle_per_instance};
 use super::settings::GatewaySettings;
+use super::upload::BodyBudget;
 use crate::clock::{BootTime, wall_millis};
 use crate::metrics::Metrics;
 use crate::names::{BackendServerName, OrganisationName};
@@ -78,6 +79,8 @@
     pub changes: watch::Sender<u64>,
     /// Whether this instance reads the platform's store directly.
     pub reads_store: watch::Sender<bool>,
+    /// Memory for large bodies of callers.
+    pub bodies: BodyBudget,
     /// Idle connections to backend servers.
     pub pool: ConnectionPool,
     /// Evidence against prompt parts that crash backend servers.
@@ -95,7 +98,7 @@
     /// Times of the shutdown, once it has begun.
     pub shutdown: Cell<Option<ShutdownTimes>>,
     /// Number of open connections of callers.
-    pub open_connections: Cell<usize>,
+    pub open_connections: watch::Sender<usize>,
     /// Number of consecutive failed calls to the store for the configuration.
     pub failed_config_calls: watch::Sender<u32>,
     /// When the store last recovered from an outage.
@@ -117,6 +120,7 @@
             last_pull_at: Cell::new(None),
             changes: watch::Sender::new(0),
             reads_store: watch::Sender::new(!cfg.has_other_seed()),
+            bodies: BodyBudget::new(cfg.max_body_memory()),
             cfg: RefCell::new(Rc::new(cfg)),
             catalog: RefCell::default(),
             fleet: RefCell::default(),
@@ -129,7 +133,7 @@
             metrics: Metrics::default(),
             draining: watch::Sender::new(false),
             shutdown: Cell::new(None),
-            open_connections: Cell::new(0),
+            open_connections: watch::Sender::new(0),
             failed_config_calls: watch::Sender::new(0),
             store_recovered_at: Cell::new(None),
             last_registry_contact: Cell::new(None),
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -143,6 +143,9 @@
             MS,
             default.max_withdrawal_delay,
         ),
+        max_memory: fields
+            .parse_optional::<usize>("limits.memory-mb")
+            .map_or(default.max_memory, |mb| mb.saturating_mul(1 << 20)),
         shutdown_grace: fields.parse_duration("bounds.grace-s", S, default.shutdown_grace),
         lease_term: fields.parse_duration("bounds.lease-ms", MS, default.lease_term),
         usage_window: fields.parse_duration("bounds.usage-window-s", S, default.usage_window),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod entries;
 mod logs;
+mod memory;
 mod migration;
 mod notices;
 mod outage;
