Answer the requests in progress before the process exits

Reproduced with a silent server, for requests sent before SIGTERM or up to 2.6 s after it whose deadline lies beyond the exit. Not reproduced for later ones, which were taken only with a deadline before the exit: 25 of 25 got a response.

Cause: the process exited at the end of the grace period and told the requests nothing.

Change: 300 ms before the exit, requests without a response get 502; later ones are taken only if their deadline comes before that.

Red before: drain::request_in_progress_at_the_exit_gets_a_final_response, 3 of 3. After: green.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -55,10 +55,14 @@
         Ok(request) => Rc::new(request),
         Err(refusal) => return refuse(&record, refusal),
     };
-    match serve(&cx, &request, &record).await {
-        Ok(rsp) => rsp,
-        Err(refusal) => refuse(&record, refusal),
-    }
+    let served = tokio::select! {
+        served = serve(&cx, &request, &record) => served,
+        () = cx.wait_for_last_responses() => {
+            record.set_reason("the instance exits before there is a response");
+            Err(Refusal::AnswerLost)
+        }
+    };
+    served.unwrap_or_else(|refusal| refuse(&record, refusal))
 }
 
 fn refuse(record: &RequestRecord, refusal: Refusal) -> Response<ResponseBody> {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -42,6 +42,10 @@
 /// unavailable and gets only these calls; a single failure may be a lost response.
 const UNAVAILABLE_AFTER_FAILURES: u32 = 2;
 
+/// Time before the exit of a process at which requests without a response get their final one; callers
+/// could take a closed connection for anything.
+const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(300);
+
 /// Returns whether the store counts as unavailable after a number of consecutive failed
 /// configuration calls.
 pub fn is_unavailable(failures: u32) -> bool {
@@ -57,6 +61,13 @@
     pub exit_at: Instant,
 }
 
+impl ShutdownTimes {
+    /// Returns when requests that have no response yet get their final one.
+    fn last_response_at(self) -> Instant {
+        self.exit_at.checked_sub(FINAL_RESPONSE_TIME).unwrap_or(self.exit_at)
+    }
+}
+
 /// State of an instance, whose tasks all run on one thread.
 pub struct InstanceState {
     /// Current settings.
@@ -174,9 +185,20 @@
     /// Returns whether to admit a request with a deadline: during a shutdown, it must be able to
     /// finish before the process exits.
     pub fn admits(&self, deadline: Instant) -> bool {
-        self.shutdown
-            .get()
-            .is_none_or(|times| Instant::now() < times.admit_all_until || deadline <= times.exit_at)
+        self.shutdown.get().is_none_or(|times| {
+            Instant::now() < times.admit_all_until || deadline <= times.last_response_at()
+        })
+    }
+
+    /// Waits until this instance is about to exit, so that final responses are due.
+    pub async fn wait_for_last_responses(&self) {
+        let mut draining = self.draining.subscribe();
+        // Fails only after the sender is dropped, and `self` keeps it alive.
+        let _ = draining.wait_for(|draining| *draining).await;
+        match self.shutdown.get() {
+            Some(times) => tokio::time::sleep_until(times.last_response_at().into()).await,
+            None => std::future::pending().await,
+        }
     }
 
     /// Records whether the registry of backend servers could be read, directly or through a peer.
