--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -92,7 +92,12 @@
     }
     let (parts, body) = req.into_parts();
     let max_wait = head.timeout.unwrap_or(DEFAULT_TIMEOUT).mul_f64(START_WAIT_FRACTION);
-    let body = cx.bodies.read(body, catalog.limits.max_body, max_wait, REFUSED_NOT_RUN).await?;
+    let body = cx.bodies.read(body, catalog.limits.max_body, max_wait, REFUSED_NOT_RUN).await;
+    let body = body.inspect_err(|refusal| {
+        if *refusal == REFUSED_NOT_RUN {
+            record.set_reason("there was no memory for the request's body in time");
+        }
+    })?;
     head.demand.body_bytes = body.bytes.len();
     let service = route.pick_service(rand::random()).and_then(|name| catalog.service(name));
     let Some(service) = service.cloned() else {
--- a/src/gateway/upload.rs
+++ b/src/gateway/upload.rs
@@ -38,11 +38,19 @@
         Self { units: Arc::new(Semaphore::new(total)), total }
     }
 
-    /// Reserves memory for a body; waits until other requests release theirs. A body that is larger
-    /// than the whole budget gets all of it.
-    async fn reserve(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
-        let units = bytes.div_ceil(UNIT_BYTES).min(self.total);
-        self.units.clone().acquire_many_owned(u32::try_from(units).ok()?).await.ok()
+    /// Extends a reservation to a number of bytes; waits until other requests release theirs. A body that
+    /// is larger than the whole budget gets all of it.
+    async fn extend(&self, reservation: &mut Option<OwnedSemaphorePermit>, bytes: usize) {
+        let held = reservation.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let missing = bytes.div_ceil(UNIT_BYTES).min(self.total).saturating_sub(held);
+        let missing = u32::try_from(missing).unwrap_or(u32::MAX);
+        // Fails only if the semaphore is closed, which it never is.
+        if let Ok(more) = self.units.clone().acquire_many_owned(missing).await {
+            match reservation {
+                Some(held) => held.merge(more),
+                None => *reservation = Some(more),
+            }
+        }
     }
 
     /// Reads a body of at most `max` bytes. A large one is read once there is memory for it.
@@ -62,6 +70,7 @@
             return Err(Refusal::BodyTooLarge);
         }
         let mut reservation = None;
+        let mut reserved = SMALL_BODY_BYTES;
         let mut bytes = BytesMut::with_capacity(stated.unwrap_or_default().min(SMALL_BODY_BYTES));
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|_| Refusal::BodyBroken)?;
@@ -70,11 +79,11 @@
             if length > max {
                 return Err(Refusal::BodyTooLarge);
             }
-            if length > SMALL_BODY_BYTES && reservation.is_none() {
-                let needed = stated.unwrap_or(max);
-                let reserving = tokio::time::timeout(max_wait, self.reserve(needed));
-                reservation = Some(reserving.await.ok().flatten().ok_or(no_memory)?);
-                bytes.reserve(stated.unwrap_or_default().saturating_sub(bytes.len()));
+            if length > reserved {
+                reserved = stated.unwrap_or((length * 2).min(max));
+                let extending = self.extend(&mut reservation, reserved);
+                tokio::time::timeout(max_wait, extending).await.map_err(|_| no_memory)?;
+                bytes.reserve(stated.unwrap_or(length).saturating_sub(bytes.len()));
             }
             bytes.extend_from_slice(data);
         }
