Follow the platform's store through returns from an older copy

Callers would have seen: withdrawn keys accepted, requests to servers that had left, and none to new ones, as all news was ignored until the store had reached its former revision again; the platform two holders with one fencing token.

Cause: revisions were taken to grow, and acknowledged writes to last: in the copies of collections, among instances, in the registry, in the lease and in the sealed counts.

Change: a revision holds the era in its high bits, added and removed in the client of the store; each era has its own lease, and its number is in the fencing token; windows that a former era may have sealed are not sealed again; what servers said of their leaving, and evacuations, outlast a copy that lacks them for a while. Instances of earlier versions get revisions without era, and are not believed once the store states one.

After: green. evacuation_missing_from_a_copy_holds_for_a_while, peer_of_an_earlier_version_gets_revisions_without_era and routing::eras came with the change and were not run on the old program.

--- a/src/gateway/duty.rs
+++ b/src/gateway/duty.rs
@@ -17,8 +17,9 @@
 use crate::platform::duties::HolderIdentity;
 use crate::platform::{Collection, Object, PlatformError, Store};
 use crate::routing::rank::rank;
+use crate::routing::revision::in_era;
 
-/// Name of the lease in the store.
+/// Name of the lease in metrics, and in a store that states no era.
 const LEASE_NAME: &str = "duties";
 /// Number of instances that compete for the lease; fixed, so that calls don't grow with the fleet.
 const MAX_CANDIDATES: usize = 3;
@@ -62,13 +63,40 @@
     }
 }
 
+/// Returns the name of the lease in an era of the store.
+///
+/// Each era has its own lease: a holder that doesn't know yet that the store came back from a copy could
+/// otherwise renew the lease of its successor, as revisions are given out again.
+fn lease_name(era: u64) -> String {
+    if era == 0 { LEASE_NAME.to_owned() } else { format!("{LEASE_NAME}-{era}") }
+}
+
+/// Participation in the lease of one era of the store.
+struct EraLease {
+    era: u64,
+    machine: LeaseStateMachine,
+}
+
+impl EraLease {
+    fn new(era: u64, instance: &InstanceName, settings: LeaseSettings) -> Self {
+        let this_holder = Holder { instance: instance.clone(), incarnation: rand::random() };
+        Self { era, machine: LeaseStateMachine::new(this_holder, settings) }
+    }
+
+    /// Returns the fencing token and the end of the held lease. Tokens of a later era are greater than
+    /// all before, whose epochs may be lost.
+    fn held(&self) -> Option<(u64, BootTime)> {
+        let grant = self.machine.held(BootTime::now())?;
+        Some((in_era(self.era, grant.epoch), grant.until))
+    }
+}
+
 /// Acquires and renews the lease until the instance shuts down, then releases it.
 pub async fn maintain(cx: Rc<InstanceState>, store: Store, duty_lease: Rc<DutyLease>) {
     let cfg = cx.cfg();
     let settings = LeaseSettings::from_term(cfg.lease_term);
-    let this_holder = Holder { instance: cfg.instance.clone(), incarnation: rand::random() };
     *duty_lease.instance.borrow_mut() = Some(cfg.instance.clone());
-    let mut machine = LeaseStateMachine::new(this_holder, settings);
+    let mut lease = EraLease::new(store.era(), &cfg.instance, settings);
     let mut draining = cx.draining.subscribe();
     while !is_listed(&cx, &cfg.instance) && !cx.is_draining() {
         tokio::time::sleep(LISTED_CHECK_PERIOD).await;
@@ -77,9 +105,15 @@
     let mut polls_to_skip =
         rand::rng().random_range(1..=cx.instance_count().max(MIN_SKIPPED_POLLS));
     while !cx.is_draining() {
-        let is_held = machine.held(BootTime::now()).is_some();
+        if lease.era != store.era() {
+            let is_lost = lease.held().is_some();
+            tracing::info!(former = lease.era, era = store.era(), is_lost, "lease of a new era");
+            lease = EraLease::new(store.era(), &cfg.instance, settings);
+            duty_lease.held.set(None);
+        }
+        let is_held = lease.held().is_some();
         if is_held || polls_to_skip == 0 || is_candidate(&cx, &cfg.instance) {
-            run_poll_round(&cx, &store, &mut machine, &duty_lease).await;
+            run_poll_round(&cx, &store, &mut lease, &duty_lease).await;
             polls_to_skip = cx.instance_count().max(MIN_SKIPPED_POLLS);
         }
         polls_to_skip -= 1;
@@ -91,8 +125,8 @@
         }
     }
     duty_lease.held.set(None);
-    if let Some(LeaseCall::Write(write)) = machine.release(BootTime::now()) {
-        let result = put(&store, &write).await;
+    if let Some(LeaseCall::Write(write)) = lease.machine.release(BootTime::now()) {
+        let result = put(&store, &lease_name(lease.era), &write).await;
         tracing::info!(released = result.is_ok(), "tried to release the duty lease");
     }
 }
@@ -112,9 +146,11 @@
 async fn run_poll_round(
     cx: &InstanceState,
     store: &Store,
-    machine: &mut LeaseStateMachine,
+    lease: &mut EraLease,
     duty_lease: &DutyLease,
 ) {
+    let name = lease_name(lease.era);
+    let machine = &mut lease.machine;
     let before = machine.held(BootTime::now()).map(|grant| grant.epoch);
     for _ in 0..MAX_CALLS_PER_ROUND {
         // The platform rejects calls of former holders, so none has to confirm that it stopped.
@@ -124,7 +160,7 @@
         let is_read = matches!(call, LeaseCall::Read);
         match call {
             LeaseCall::Read => {
-                let result = read(store).await;
+                let result = read(store, &name).await;
                 let failed = result.is_err();
                 if failed {
                     cx.metrics.add(Counter::PlatformFailures, "lease", 1);
@@ -135,7 +171,7 @@
                 }
             }
             LeaseCall::Write(write) => {
-                let result = put(store, &write).await;
+                let result = put(store, &name, &write).await;
                 machine.on_write(write, result);
             }
         }
@@ -147,6 +183,11 @@
             break;
         }
     }
+    if lease.era != store.era() {
+        // What was read or written is of an era that has ended.
+        duty_lease.held.set(None);
+        return;
+    }
     let held = machine.held(BootTime::now());
     if before != held.map(|grant| grant.epoch) {
         tracing::info!(
@@ -156,22 +197,20 @@
         );
     }
     cx.metrics.set_gauge("lease_epoch_held", LEASE_NAME, held.map_or(0, |grant| grant.epoch));
-    duty_lease.held.set(held.map(|grant| (grant.epoch, grant.until)));
+    duty_lease.held.set(lease.held());
 }
 
-async fn read(store: &Store) -> Result<Option<Object<LeaseRecord>>, PlatformError> {
-    match store.get(Collection::Leases, LEASE_NAME).await {
+async fn read(store: &Store, name: &str) -> Result<Option<Object<LeaseRecord>>, PlatformError> {
+    match store.get(Collection::Leases, name).await {
         Ok(object) => Ok(Some(object)),
         Err(PlatformError::NotFound) => Ok(None),
         Err(error) => Err(error),
     }
 }
 
-async fn put(store: &Store, write: &LeaseWrite) -> Result<String, PlatformError> {
+async fn put(store: &Store, name: &str, write: &LeaseWrite) -> Result<String, PlatformError> {
     match &write.version {
-        Some(version) => {
-            store.update(Collection::Leases, LEASE_NAME, Some(version), &write.record).await
-        }
-        None => store.create(Collection::Leases, LEASE_NAME, &write.record).await,
+        Some(version) => store.update(Collection::Leases, name, Some(version), &write.record).await,
+        None => store.create(Collection::Leases, name, &write.record).await,
     }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,6 +22,7 @@
 use crate::routing::direct_reads::{MAX_PROOF_AGE, SourceState, is_first_reader};
 use crate::routing::members::Member;
 use crate::routing::mirror::Update;
+use crate::routing::revision::era_of;
 use crate::routing::windows::{SentTallies, Tallies};
 
 /// Path of the pull endpoint.
@@ -67,6 +68,9 @@
         /// it. Earlier versions don't support that.
         #[serde(default)]
         pub accepts_separate_updates: bool,
+        /// Whether the revisions hold the store's era. Those of earlier versions don't.
+        #[serde(default)]
+        pub has_eras: bool,
     }
 }
 
@@ -86,6 +90,9 @@
     /// Name of the responding process; a different process lacks the counts sent to this one.
     #[serde(default)]
     pub process: String,
+    /// Whether the revisions hold the store's era. Those of earlier versions don't.
+    #[serde(default)]
+    pub has_eras: bool,
     /// Whether the peer reads the store directly and its last configuration call failed.
     #[serde(default, rename = "is_turned_away")]
     pub is_store_failing: bool,
@@ -272,6 +279,7 @@
         tallies: sent_tallies.unsent(name, &cx.tallies.borrow()),
         hold_ms: hold.as_millis() as u64,
         accepts_separate_updates: true,
+        has_eras: true,
     };
     let url = format!("http://{}{PULL_PATH}", member.address);
     let req = client.post(url).timeout(hold + RESPONSE_MARGIN).json(&pull);
@@ -285,6 +293,10 @@
     }
     let response = PullHead::decode(&body).map_err(PullError::Unusable)?;
     sent_tallies.record_acknowledged(response.process, &pull.tallies);
+    if !response.has_eras && pull.known.values().any(|revision| era_of(*revision) > 0) {
+        let why = "the peer's version doesn't know the eras of the store";
+        return Err(PullError::Unusable(why.to_owned()));
+    }
     let proof_age = response.proof_age_ms.map(Duration::from_millis);
     if proof_age.is_some_and(|age| age < MAX_PROOF_AGE) {
         cx.record_registry_contact(true);
--- a/src/gateway/pulls.rs
+++ b/src/gateway/pulls.rs
@@ -29,6 +29,7 @@
 use crate::clock::BootTime;
 use crate::platform::Collection;
 use crate::routing::mirror::Update;
+use crate::routing::revision::{era_of, in_era, number_of};
 
 /// Maximum time that a request is held if nothing changes. It exceeds the time between two proofs
 /// of an instance that reads the store, so that changes pass down all levels of the tree without
@@ -119,13 +120,25 @@
             let _permit = self.reads.acquire().await.map_err(|error| error.to_string())?;
             let body = Limited::new(req.into_body(), MAX_REQUEST_BYTES).collect().await;
             let bytes = body.map_err(|error| error.to_string())?.to_bytes();
-            serde_json::from_slice(&bytes).map_err(|error| error.to_string())
+            let pull: PullRequest =
+                serde_json::from_slice(&bytes).map_err(|error| error.to_string())?;
+            Ok(if pull.has_eras { pull } else { self.with_eras(pull) })
         };
         tokio::time::timeout(READ_TIMEOUT, read).await.map_err(|_| {
             format!("the pull request was not complete after {} ms", READ_TIMEOUT.as_millis())
         })?
     }
 
+    /// Adds the eras of this instance to the revisions of a sender of an earlier version.
+    fn with_eras(&self, mut pull: PullRequest) -> PullRequest {
+        let current = self.cx.revisions();
+        for (collection, known) in &mut pull.known {
+            let era = current.get(collection).map_or(0, |revision| era_of(*revision));
+            *known = in_era(era, *known);
+        }
+        pull
+    }
+
     /// Waits until there is something new for the sender or the hold time ends.
     async fn build_response(
         &self,
@@ -153,6 +166,7 @@
                     held_ms: held.as_millis() as u64,
                     process: cx.process_name.clone(),
                     is_store_failing: cx.is_store_failing(),
+                    has_eras: true,
                     ..PullHead::default()
                 };
                 return self.encode_response(pull, head);
@@ -167,8 +181,11 @@
         pull: &PullRequest,
         mut head: PullHead,
     ) -> Result<Response<ResponseBody>, serde_json::Error> {
-        if !pull.accepts_separate_updates {
+        if !pull.accepts_separate_updates || !pull.has_eras {
             head.updates = missing_updates(&self.cx, &pull.known);
+            if !pull.has_eras {
+                head.updates.values_mut().for_each(remove_era);
+            }
             return Ok(Response::new(full_body(serde_json::to_vec(&head)?)));
         }
         let updates = self.encode_updates(&pull.known)?;
@@ -225,6 +242,14 @@
     updates.collect()
 }
 
+/// Removes the era from the revisions of an update, for a reader of an earlier version.
+fn remove_era(update: &mut Update) {
+    update.revision = number_of(update.revision);
+    for item in &mut update.items {
+        item.revision = number_of(item.revision);
+    }
+}
+
 fn error_response(status: StatusCode, why: String) -> Response<ResponseBody> {
     let mut rsp = Response::new(full_body(why));
     *rsp.status_mut() = status;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,7 +12,7 @@
 use super::ingress::{self, ACCEPT_GRACE};
 use super::settings::GatewaySettings;
 use super::shared::{InstanceState, ShutdownTimes};
-use super::{evidence, listen, peers, pulls, roster, scaling, status, sync, usage};
+use super::{evidence, listen, peers, pulls, roster, scaling, state, status, sync, usage};
 use crate::clock::{BootTime, wall_millis};
 use crate::platform::duties::DutyClient;
 use crate::platform::settings::parse;
@@ -168,6 +168,7 @@
     let mut ticks = timer.every(SWEEP_PERIOD);
     while ticks.recv().await.is_some() {
         cx.sweep();
+        state::end_kept_evacuations(&cx);
         let step = cx.clock.borrow_mut().synchronise(wall_millis(), BootTime::now());
         if let Some(step_ms) = step {
             tracing::debug!(step_ms, "system clock was stepped; ignoring the step");
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,7 +1,7 @@
 //! State shared by the tasks of an instance: settings, its view of the fleet, and counters.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,7 @@
 use super::upload::BodyBudget;
 use crate::clock::{BootTime, wall_millis};
 use crate::metrics::Metrics;
-use crate::names::{BackendServerName, OrganisationName};
+use crate::names::{BackendServerName, DataCentreName, OrganisationName};
 use crate::platform::Collection;
 use crate::routing::budget::RetryBudget;
 use crate::routing::catalog::{Catalog, Service, ServiceName};
@@ -76,6 +76,8 @@
     pub catalog: RefCell<Rc<Catalog>>,
     /// Registered backend servers.
     pub fleet: RefCell<Fleet>,
+    /// Data centres that stay evacuated until a time although a copy of the store doesn't list them.
+    pub kept_evacuations: RefCell<Option<(HashSet<DataCentreName>, Instant)>>,
     /// Latest proof that the configuration is current.
     pub proof: RefCell<FreshnessProof>,
     /// Load and failures of the backend servers.
@@ -135,6 +137,7 @@
             cfg: RefCell::new(Rc::new(cfg)),
             catalog: RefCell::default(),
             fleet: RefCell::default(),
+            kept_evacuations: RefCell::default(),
             proof: RefCell::default(),
             loads: RefCell::default(),
             pool: ConnectionPool::default(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -12,14 +12,21 @@
 use crate::platform::store::CONFIG_NAME;
 use crate::routing::fleet::{Fleet, Registration};
 use crate::routing::members::Member;
-use crate::routing::mirror::{Item, Update};
+use crate::routing::mirror::{Item, Mirror, Update};
+use crate::routing::revision::era_of;
 
 /// Collections that every instance keeps a copy of.
 pub const SYNCED_COLLECTIONS: [Collection; 4] =
     [Collection::Configs, Collection::Servers, Collection::DataCentresOut, Collection::Instances];
 
+/// Time within which an operator writes again what a copy of the store lacks.
+const REWRITE_TIME: Duration = Duration::from_secs(5);
+
 /// Applies an update of a collection; outdated updates are ignored.
 pub fn apply_update(cx: &InstanceState, collection: Collection, update: &Update) {
+    if collection == Collection::DataCentresOut {
+        keep_evacuations_missing_from_copy(cx, update);
+    }
     if !cx.mirrors.borrow_mut().entry(collection).or_default().apply(update) {
         return;
     }
@@ -104,14 +111,37 @@
     }
 }
 
+/// If the store came back from a copy, keeps the data centres that were evacuated before for as long as
+/// an operator needs to write that again.
+fn keep_evacuations_missing_from_copy(cx: &InstanceState, update: &Update) {
+    let former = cx.mirrors.borrow().get(&Collection::DataCentresOut).and_then(Mirror::revision);
+    if former.is_some_and(|former| era_of(former) < era_of(update.revision)) {
+        let evacuated = cx.fleet.borrow().evacuated().clone();
+        cx.kept_evacuations.replace(Some((evacuated, Instant::now() + REWRITE_TIME)));
+    }
+}
+
+/// Ends the evacuations that were kept after a return of the store from a copy, once their time is over.
+pub fn end_kept_evacuations(cx: &InstanceState) {
+    let is_over =
+        cx.kept_evacuations.borrow().as_ref().is_some_and(|(_, until)| Instant::now() >= *until);
+    if is_over {
+        cx.kept_evacuations.replace(None);
+        apply_data_centres_out(cx);
+    }
+}
+
 /// Applies the set of evacuated data centres, read from the local copy because an update may
 /// contain only a part of them.
 fn apply_data_centres_out(cx: &InstanceState) {
-    let evacuated: HashSet<DataCentreName> =
+    let mut evacuated: HashSet<DataCentreName> =
         match cx.mirrors.borrow().get(&Collection::DataCentresOut) {
             Some(mirror) => mirror.names().map(DataCentreName::from).collect(),
             None => HashSet::new(),
         };
+    if let Some((kept, _)) = &*cx.kept_evacuations.borrow() {
+        evacuated.extend(kept.iter().cloned());
+    }
     if evacuated == *cx.fleet.borrow().evacuated() {
         return;
     }
--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -15,7 +15,7 @@
 use crate::metrics::Counter;
 use crate::platform::duties::DutyClient;
 use crate::platform::{Collection, PlatformError, Store};
-use crate::routing::windows::{RequestCounts, Tallies, may_finalise};
+use crate::routing::windows::{RequestCounts, Tallies, may_finalise, may_seal_in_era};
 use crate::timer::Timer;
 
 /// Period at which an instance publishes changed counts.
@@ -47,6 +47,8 @@
     published: Tallies,
     /// Whether the object of this process exists in the store.
     exists: bool,
+    /// Era of the store in which that was published.
+    era: u64,
 }
 
 impl Publisher {
@@ -55,6 +57,9 @@
     /// Each process writes its own object, so that it doesn't overwrite the counts of an earlier
     /// process of the same instance.
     pub async fn publish(&mut self, cx: &InstanceState, store: &Store) {
+        if self.era != store.era() {
+            *self = Self { era: store.era(), ..Self::default() };
+        }
         let tallies = cx.tallies.borrow().clone();
         if tallies == self.published {
             return;
@@ -93,12 +98,15 @@
 ) {
     let mut ticks = timer.every(REPORT_PERIOD);
     let mut reported = BTreeSet::new();
+    let mut era_start = EraStart::default();
     while ticks.recv().await.is_some() {
         if duty_lease.identity().is_none() {
             continue;
         }
         for window in due_windows(&cx, &reported) {
-            match report_window(&cx, &store, &duties, &duty_lease, window).await {
+            let result =
+                report_window(&cx, &store, &duties, &duty_lease, &mut era_start, window).await;
+            match result {
                 Ok(()) => {
                     cx.metrics.add(Counter::UsageWindows, "reported", 1);
                     reported.insert(window);
@@ -136,9 +144,22 @@
     store: &Store,
     duties: &DutyClient,
     duty_lease: &DutyLease,
+    era_start: &mut EraStart,
     window: u64,
 ) -> Result<(), PlatformError> {
-    let counts = seal_window(cx, store, window).await?;
+    let window_ms = cx.cfg().usage_window.as_millis().max(1) as u64;
+    let counts = if era_start.may_seal(cx, store, (window + 1) * window_ms).await? {
+        seal_window(cx, store, window).await?
+    } else {
+        match store.get::<RequestCounts>(Collection::Seals, &window.to_string()).await {
+            Ok(sealed) => sealed.spec,
+            Err(PlatformError::NotFound) => {
+                tracing::warn!(window, "seal lost with an era of the store; window not reported");
+                return Ok(());
+            }
+            Err(error) => return Err(error),
+        }
+    };
     let lease_lost = || PlatformError::Refused("the duty lease was lost".to_owned());
     let identity = duty_lease.identity().ok_or_else(lease_lost)?;
     cx.metrics.add(Counter::PlatformCalls, "usage", 1);
@@ -156,6 +177,70 @@
     }
 }
 
+value! {
+    /// Mark of the beginning of an era of the store, among the seals.
+    pub struct EraMark {
+        /// When the first holder of the duty lease began, in milliseconds since the Unix epoch.
+        pub began_ms: u64,
+    }
+}
+
+/// Beginning of the store's current era, as far as it is known.
+///
+/// Totals that were sealed and reported before it may be lost, and others for the same window would
+/// contradict them. So windows that could have been sealed by then are not sealed again.
+#[derive(Debug, Default)]
+struct EraStart {
+    /// The era and its beginning.
+    known: Option<(u64, u64)>,
+}
+
+impl EraStart {
+    /// Returns whether a window that ended at a time, in milliseconds since the Unix epoch, may be
+    /// sealed.
+    async fn may_seal(
+        &mut self,
+        cx: &InstanceState,
+        store: &Store,
+        window_end_ms: u64,
+    ) -> Result<bool, PlatformError> {
+        let era = store.era();
+        if era == 0 {
+            return Ok(true);
+        }
+        let began_ms = match self.known {
+            Some((known, began_ms)) if known == era => began_ms,
+            _ => self.read(cx, store, era).await?,
+        };
+        Ok(may_seal_in_era(Duration::from_millis(window_end_ms), Duration::from_millis(began_ms)))
+    }
+
+    /// Reads the mark of the era, and sets it if this is the first holder.
+    async fn read(
+        &mut self,
+        cx: &InstanceState,
+        store: &Store,
+        era: u64,
+    ) -> Result<u64, PlatformError> {
+        let name = format!("era-{era}");
+        let mark = EraMark { began_ms: cx.clock.borrow().unix_millis(BootTime::now()) };
+        cx.metrics.add(Counter::PlatformCalls, Collection::Seals.label(), 1);
+        let began_ms = match store.create(Collection::Seals, &name, &mark).await {
+            Ok(_) => mark.began_ms,
+            Err(PlatformError::Conflict) => {
+                store.get::<EraMark>(Collection::Seals, &name).await?.spec.began_ms
+            }
+            Err(error) => return Err(error),
+        };
+        if store.era() != era {
+            return Err(PlatformError::Unknown("the store came back from a copy".to_owned()));
+        }
+        tracing::info!(era, began_ms, "beginning of the store's era");
+        self.known = Some((era, began_ms));
+        Ok(began_ms)
+    }
+}
+
 /// Returns the sealed totals of a window; seals the current ones if no holder has done so.
 async fn seal_window(
     cx: &InstanceState,
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper::Response;
 use reqwest::{Method, RequestBuilder, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -271,8 +272,8 @@
         timeout: Duration,
     ) -> Result<String, PlatformError> {
         let req = self.http.request(method, url).timeout(timeout);
-        let (status, body) = send_request(req, body, MAX_RESPONSE_BYTES).await?;
-        check_status(status).map(|()| String::from_utf8_lossy(&body).into_owned())
+        let rsp = send_request(req, body, MAX_RESPONSE_BYTES).await?;
+        check_status(rsp.status()).map(|()| String::from_utf8_lossy(rsp.body()).into_owned())
     }
 }
 
@@ -281,17 +282,20 @@
     mut req: RequestBuilder,
     body: Option<Value>,
     max: usize,
-) -> Result<(StatusCode, Bytes), PlatformError> {
+) -> Result<Response<Bytes>, PlatformError> {
     if let Some(body) = body {
         req = req.json(&body);
     }
     let rsp = req.send().await.map_err(|error| call_error(&error))?;
-    let status = rsp.status();
+    let mut response = Response::new(Bytes::new());
+    *response.status_mut() = rsp.status();
+    *response.headers_mut() = rsp.headers().clone();
     let body = read_limited(rsp, max).await.map_err(|error| match error {
         BodyError::Broken(why) => PlatformError::Unknown(why),
         BodyError::TooLong(_) => PlatformError::Malformed(error.to_string()),
     });
-    Ok((status, body?))
+    let body = body?;
+    Ok(response.map(|_| body))
 }
 
 /// Maps the status of a response to the outcome of the call.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,8 @@
 //! Client of the platform's metadata store.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +16,10 @@
 use super::headers::base_url;
 use super::objects::{Object, PlatformError, check_status, send_request};
 use crate::json_text::JsonText;
+use crate::routing::revision::{era_of, in_era, number_of};
+
+/// Header with the store's era, which rises each time that it comes back from a copy.
+const ERA_HEADER: &str = "store-era";
 
 /// Timeout of a call, after which its outcome is unknown.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -158,18 +164,19 @@
     }
 
     /// Converts a deleted object.
-    fn without_value(self) -> StoredObject {
+    fn without_value(self, era: u64) -> StoredObject {
         let WireMetadata { name, revision } = self.metadata;
-        StoredObject { name, revision, value: JsonText::null() }
+        StoredObject { name, revision: in_era(era, revision), value: JsonText::null() }
     }
 
     /// Converts the object; a value that can't be read becomes null, which no reader accepts.
-    fn into_stored(self, collection: Collection) -> StoredObject {
+    fn into_stored(self, collection: Collection, era: u64) -> StoredObject {
         let value = self.used_value(collection).unwrap_or_else(|error| {
             log_unreadable(collection, &self.metadata.name, &error);
             JsonText::null()
         });
-        StoredObject { name: self.metadata.name, revision: self.metadata.revision, value }
+        let revision = in_era(era, self.metadata.revision);
+        StoredObject { name: self.metadata.name, revision, value }
     }
 
     /// Returns the parts of the value that are used. What another writer adds is not kept or sent to
@@ -198,11 +205,24 @@
     tracing::warn!(of = collection.label(), name, error, "stored object can't be read");
 }
 
-/// Client of the store; clones share its connections.
+/// Client of the store; clones share its connections and what they know of its era.
+///
+/// All revisions and versions that it returns or takes hold the store's era (see
+/// [`crate::routing::revision`]).
 #[derive(Debug, Clone)]
 pub struct Store {
     http: reqwest::Client,
     base: String,
+    /// Latest era that a response stated.
+    era: Arc<AtomicU64>,
+}
+
+/// A response of the store.
+struct StoreResponse {
+    status: StatusCode,
+    /// Era of the store when it responded.
+    era: u64,
+    text: String,
 }
 
 impl Store {
@@ -212,7 +232,12 @@
     /// Fails if the HTTP client can't be built.
     pub fn new(address: SocketAddr) -> eyre::Result<Self> {
         let base = format!("{}/laburnumvalve/objects", base_url(address));
-        Ok(Self { http: super::http::client()?, base })
+        Ok(Self { http: super::http::client()?, base, era: Arc::default() })
+    }
+
+    /// Returns the latest era of the store that a response stated; 0 if none did.
+    pub fn era(&self) -> u64 {
+        self.era.load(Ordering::Relaxed)
     }
 
     /// Reads a whole collection, with the revision from which a watch can start.
@@ -225,8 +250,9 @@
     ) -> Result<(Vec<StoredObject>, u64), PlatformError> {
         let mut found: Vec<StoredObject> = Vec::new();
         let at = self
-            .for_each_page(collection, |items| {
-                found.extend(items.into_iter().map(|item| item.into_stored(collection)));
+            .for_each_page(collection, |era, items| {
+                let stored = |item: WireObject<'_>| item.into_stored(collection, era);
+                found.extend(items.into_iter().map(stored));
             })
             .await?;
         Ok((found, at))
@@ -244,7 +270,7 @@
         collection: Collection,
         mut visit: impl FnMut(&str, Result<T, PlatformError>),
     ) -> Result<u64, PlatformError> {
-        self.for_each_page(collection, |items| {
+        self.for_each_page(collection, |_, items| {
             for item in items {
                 let value = item.decode_value().map_err(PlatformError::Malformed);
                 visit(&item.metadata.name, value);
@@ -257,21 +283,25 @@
     async fn for_each_page(
         &self,
         collection: Collection,
-        mut visit: impl FnMut(Vec<WireObject<'_>>),
+        mut visit: impl FnMut(u64, Vec<WireObject<'_>>),
     ) -> Result<u64, PlatformError> {
         let mut after: Option<String> = None;
         let mut first_at = None;
         loop {
             let query = after.as_ref().map(|name| format!("?after={name}")).unwrap_or_default();
             let url = format!("{}/{}{query}", self.base, collection.as_str());
-            let text = self.call(Method::GET, &url, None).await?;
-            let page: WireList<'_> = decode(&text)?;
+            let rsp = self.call(Method::GET, &url, None).await?;
+            let page: WireList<'_> = decode(&rsp.text)?;
             // Changes while later pages are read may be missing from earlier pages, so the watch
             // must start from the revision of the first page.
-            let at = *first_at.get_or_insert(page.at);
+            let at = *first_at.get_or_insert(in_era(rsp.era, page.at));
+            if era_of(at) != rsp.era {
+                let why = "the store came back from a copy between two pages of a list";
+                return Err(PlatformError::Unknown(why.to_owned()));
+            }
             let items: Vec<WireObject<'_>> = decode_each(collection, &page.items);
             let last = items.last().map(|last| last.metadata.name.clone());
-            visit(items);
+            visit(rsp.era, items);
             if !page.has_more {
                 return Ok(at);
             }
@@ -294,26 +324,27 @@
         revision: u64,
         wait: Duration,
     ) -> Result<WatchResult, PlatformError> {
-        let wait_ms = wait.as_millis();
-        let url =
-            format!("{}/{}?watch={revision}&wait-ms={wait_ms}", self.base, collection.as_str());
-        let (status, body) =
-            self.send(Method::GET, &url, None, wait + WATCH_TIMEOUT_MARGIN).await?;
-        if status == StatusCode::GONE {
+        if era_of(revision) != self.era() {
             return Ok(WatchResult::HistoryExpired);
         }
-        check_status(status)?;
-        let text = to_text(body);
-        let events: WireEvents<'_> = decode(&text)?;
+        let (number, wait_ms) = (number_of(revision), wait.as_millis());
+        let url = format!("{}/{}?watch={number}&wait-ms={wait_ms}", self.base, collection.as_str());
+        let rsp = self.send(Method::GET, &url, None, wait + WATCH_TIMEOUT_MARGIN).await?;
+        // The store may have given out this revision again for other contents.
+        if rsp.status == StatusCode::GONE || rsp.era != era_of(revision) {
+            return Ok(WatchResult::HistoryExpired);
+        }
+        check_status(rsp.status)?;
+        let events: WireEvents<'_> = decode(&rsp.text)?;
         let changes = decode_each(collection, &events.events).into_iter();
         let changes = changes.map(|event: WireEvent<'_>| Change {
             is_deleted: event.deleted,
             object: match event.deleted {
-                true => event.object.without_value(),
-                false => event.object.into_stored(collection),
+                true => event.object.without_value(rsp.era),
+                false => event.object.into_stored(collection, rsp.era),
             },
         });
-        Ok(WatchResult::Changes(changes.collect(), events.at))
+        Ok(WatchResult::Changes(changes.collect(), in_era(rsp.era, events.at)))
     }
 
     /// Reads one object.
@@ -325,10 +356,10 @@
         collection: Collection,
         name: &str,
     ) -> Result<Object<T>, PlatformError> {
-        let text = self.call(Method::GET, &self.url(collection, name), None).await?;
-        let wire: WireObject<'_> = decode(&text)?;
+        let rsp = self.call(Method::GET, &self.url(collection, name), None).await?;
+        let wire: WireObject<'_> = decode(&rsp.text)?;
         let spec = wire.decode_value().map_err(PlatformError::Malformed)?;
-        let version = wire.metadata.revision.to_string();
+        let version = in_era(rsp.era, wire.metadata.revision).to_string();
         Ok(Object { name: wire.metadata.name, version, spec })
     }
 
@@ -366,7 +397,10 @@
             let revision = expected.parse::<u64>().map_err(|error| {
                 PlatformError::Malformed(format!("version \"{expected}\" of {name}: {error}"))
             })?;
-            metadata["revision"] = revision.into();
+            if era_of(revision) != self.era() {
+                return Err(PlatformError::Conflict);
+            }
+            metadata["revision"] = number_of(revision).into();
         }
         let body = json!({ "metadata": metadata, "spec": value });
         version(&self.call(Method::PUT, &self.url(collection, name), Some(body)).await?)
@@ -378,24 +412,22 @@
     /// Returns the error of a failed call.
     pub async fn delete(&self, collection: Collection, name: &str) -> Result<(), PlatformError> {
         let url = self.url(collection, name);
-        let (status, _) = self.send(Method::DELETE, &url, None, CALL_TIMEOUT).await?;
-        check_status(status)
+        check_status(self.send(Method::DELETE, &url, None, CALL_TIMEOUT).await?.status)
     }
 
     fn url(&self, collection: Collection, name: &str) -> String {
         format!("{}/{}/{name}", self.base, collection.as_str())
     }
 
-    /// Makes a call and returns the text of its response.
+    /// Makes a call and returns its response, if that is a success.
     async fn call(
         &self,
         method: Method,
         url: &str,
         body: Option<Value>,
-    ) -> Result<String, PlatformError> {
-        let (status, body) = self.send(method, url, body, CALL_TIMEOUT).await?;
-        check_status(status)?;
-        Ok(to_text(body))
+    ) -> Result<StoreResponse, PlatformError> {
+        let rsp = self.send(method, url, body, CALL_TIMEOUT).await?;
+        check_status(rsp.status).map(|()| rsp)
     }
 
     async fn send(
@@ -404,9 +436,16 @@
         url: &str,
         body: Option<Value>,
         timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), PlatformError> {
+    ) -> Result<StoreResponse, PlatformError> {
         let req = self.http.request(method, url).timeout(timeout);
-        send_request(req, body, MAX_RESPONSE_BYTES).await
+        let rsp = send_request(req, body, MAX_RESPONSE_BYTES).await?;
+        let stated = rsp.headers().get(ERA_HEADER).and_then(|era| era.to_str().ok()?.parse().ok());
+        let era = stated.unwrap_or_default();
+        let former = self.era.fetch_max(era, Ordering::Relaxed);
+        if former < era {
+            tracing::info!(former, era, "era of the platform's store");
+        }
+        Ok(StoreResponse { status: rsp.status(), era, text: to_text(rsp.into_body()) })
     }
 }
 
@@ -431,7 +470,7 @@
 }
 
 /// Returns the version of the object in the response to a write.
-fn version(text: &str) -> Result<String, PlatformError> {
-    let written: WireObject<'_> = decode(text)?;
-    Ok(written.metadata.revision.to_string())
+fn version(rsp: &StoreResponse) -> Result<String, PlatformError> {
+    let written: WireObject<'_> = decode(&rsp.text)?;
+    Ok(in_era(rsp.era, written.metadata.revision).to_string())
 }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -8,6 +8,7 @@
 use crate::names::{BackendServerName, DataCentreName};
 use crate::routing::catalog::ServiceName;
 use crate::routing::notices::{Notice, Notices};
+use crate::routing::revision::era_of;
 
 /// Time after the recovery of the registry for which entries that lapsed during its outage stay in
 /// use.
@@ -81,6 +82,18 @@
     since: Instant,
     /// Revision of the removal; older versions of the entry are ignored.
     revision: u64,
+    /// Start of the removed process, if known.
+    started_at_ms: Option<u64>,
+}
+
+impl Tombstone {
+    /// Returns whether an entry is ignored: it is older than the removal, or it is one of the same
+    /// process in a copy of the registry from before the removal.
+    fn hides(&self, revision: u64, entry: &Registration, is_from_copy: bool) -> bool {
+        let is_of_former_era = era_of(self.revision) < era_of(revision);
+        let is_same_process = self.started_at_ms == entry.started_at_ms;
+        self.revision > revision || (is_from_copy && is_of_former_era && is_same_process)
+    }
 }
 
 /// All known backend servers and the evacuated data centres.
@@ -97,6 +110,9 @@
     is_registry_unavailable: bool,
     registry_recovered_at: Option<Instant>,
     revision: u64,
+    /// Revision of the first list after the registry's last return from a copy; entries up to it may be
+    /// older than what is known.
+    copied_revision: u64,
 }
 
 impl Fleet {
@@ -106,6 +122,11 @@
         if revision < self.revision {
             return;
         }
+        if self.revision > 0 && era_of(self.revision) < era_of(revision) {
+            // Entries that are missing from the copy are written again, as after an outage.
+            self.registry_recovered_at = Some(now);
+            self.copied_revision = revision;
+        }
         let names: HashSet<_> = listed.iter().map(|(_, entry)| entry.name.clone()).collect();
         let unlisted: Vec<_> =
             self.servers.keys().filter(|name| !names.contains(*name)).cloned().collect();
@@ -120,15 +141,23 @@
 
     /// Adds or updates an entry; ignored if its revision is older than that of the known entry or
     /// of its removal.
-    pub fn upsert(&mut self, now: Instant, revision: u64, entry: Registration) {
+    pub fn upsert(&mut self, now: Instant, revision: u64, mut entry: Registration) {
+        let is_from_copy = revision <= self.copied_revision;
         let known = self.servers.get(&entry.name);
         let removed = self.tombstones.get(&entry.name);
-        let removed = removed.or_else(|| known.and_then(|known| known.lapsed.as_ref()));
+        let lapsed = known.and_then(|known| known.lapsed.as_ref());
         if known.is_some_and(|known| known.revision > revision)
-            || removed.is_some_and(|tombstone| tombstone.revision > revision)
+            || removed.is_some_and(|tombstone| tombstone.hides(revision, &entry, is_from_copy))
+            || lapsed.is_some_and(|tombstone| tombstone.revision > revision)
         {
             return;
         }
+        // A copy of the registry may have an entry from before the server began to drain.
+        entry.is_draining |= known.is_some_and(|known| {
+            is_from_copy
+                && known.entry.is_draining
+                && known.entry.started_at_ms == entry.started_at_ms
+        });
         let unchanged = known.is_some_and(|known| known.revision == revision);
         let same_process = known.filter(|known| known.entry.started_at_ms == entry.started_at_ms);
         let assumed_cold_until = same_process.and_then(|known| known.assumed_cold_until);
@@ -163,17 +192,22 @@
         if self.may_lapse_spuriously(now)
             && let Some(server) = self.servers.get_mut(name)
         {
-            server.lapsed.get_or_insert(Tombstone { since: now, revision });
+            let started_at_ms = server.entry.started_at_ms;
+            server.lapsed.get_or_insert(Tombstone { since: now, revision, started_at_ms });
             return;
         }
         let known = self.servers.remove(name);
         if let Some(known) = &known {
             self.release_address(known);
         }
-        let since = known.and_then(|known| known.draining_since).unwrap_or(now);
+        let since = known.as_ref().and_then(|known| known.draining_since).unwrap_or(now);
+        let started_at_ms = known.and_then(|known| known.entry.started_at_ms);
         // An unknown entry also gets a tombstone, as an older version of it may still arrive.
-        let tombstone =
-            self.tombstones.entry(name.clone()).or_insert(Tombstone { since, revision });
+        let tombstone = self.tombstones.entry(name.clone()).or_insert(Tombstone {
+            since,
+            revision,
+            started_at_ms,
+        });
         tombstone.revision = tombstone.revision.max(revision);
     }
 
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -17,6 +17,7 @@
 pub mod proof;
 pub mod quarantine;
 pub mod rank;
+pub mod revision;
 pub mod scaling;
 pub mod tried;
 pub mod urgency;
--- a/src/routing/windows.rs
+++ b/src/routing/windows.rs
@@ -37,6 +37,15 @@
     since_end >= SETTLE_TIME && (has_settled || since_end + DEADLINE_MARGIN >= max_report_delay)
 }
 
+/// Maximum difference of the wall clocks of two instances that is allowed for.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_millis(1_000);
+
+/// Returns whether a window may be sealed in an era of the store: no earlier than its beginning could
+/// the window have been sealed for the first time. Both times are since the Unix epoch.
+pub fn may_seal_in_era(window_end: Duration, era_began: Duration) -> bool {
+    window_end + SETTLE_TIME >= era_began + MAX_CLOCK_DIFFERENCE
+}
+
 /// Number of requests that started to run, by organisation.
 pub type RequestCounts = BTreeMap<OrganisationName, u64>;
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod broken_answers;
 mod drain;
 mod entries;
+mod eras;
 mod logs;
 mod memory;
 mod migration;
--- a/tests/gateway/support/store.rs
+++ b/tests/gateway/support/store.rs
@@ -18,8 +18,10 @@
 /// Size of the values in a page from which no further object is added.
 const MAX_PAGE_BYTES: usize = 1 << 20;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
+    /// Number of times that the store came back from a copy; `None` if its responses don't state it.
+    era: Option<u64>,
     revision: u64,
     objects: BTreeMap<(String, String), (u64, Arc<str>)>,
     /// Changes: revision, kind, name, and the text of the value unless it was deleted.
@@ -36,6 +38,9 @@
     calls: Vec<String>,
 }
 
+/// A copy of the store's objects and history.
+pub struct StoreCopy(State);
+
 /// The store; clones share their objects.
 #[derive(Clone)]
 pub struct StandInStore {
@@ -111,6 +116,27 @@
         state.compacted = state.revision;
     }
 
+    /// States the era in all responses from now on.
+    pub fn state_era(&self) {
+        self.lock().era = Some(1);
+    }
+
+    /// Returns a copy of the current objects and history.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().clone())
+    }
+
+    /// Comes back from a copy: later changes are lost, and their revisions are given out again.
+    pub fn return_from(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        state.era = state.era.map(|era| era + 1);
+        state.revision = copy.0.revision;
+        state.objects = copy.0.objects.clone();
+        state.events = copy.0.events.clone();
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no lock holder panicked")
     }
@@ -159,6 +185,14 @@
     }
 
     async fn respond(&self, req: Request<Incoming>) -> Response<Body> {
+        let mut rsp = self.respond_to_call(req).await;
+        if let Some(era) = self.lock().era {
+            rsp.headers_mut().insert("store-era", era.into());
+        }
+        rsp
+    }
+
+    async fn respond_to_call(&self, req: Request<Incoming>) -> Response<Body> {
         let path = req.uri().path().trim_start_matches("/laburnumvalve/objects/").to_owned();
         let (kind, name) = match path.split_once('/') {
             Some((kind, name)) => (kind.to_owned(), Some(name.to_owned())),
@@ -207,7 +241,11 @@
             found.and_then(|value| value.parse().ok()).unwrap_or_default()
         };
         let (since, wait) = (field("watch="), Duration::from_millis(field("wait-ms=")));
-        if since < self.lock().compacted {
+        let is_known = {
+            let state = self.lock();
+            (state.compacted..=state.revision).contains(&since)
+        };
+        if !is_known {
             return status(StatusCode::GONE);
         }
         let mut changed = self.changed.subscribe();
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -3,6 +3,7 @@
 mod catalog;
 mod choice;
 mod direct_reads;
+mod eras;
 mod fleet;
 mod limits;
 mod migration;
