Count a deadline that no clock can hold as none

Cause: the conversion to a duration panics. Change: such a value is ignored, as other malformed ones are.

Red before: wire::impossible_deadline_counts_as_none::case_1_too_large. After: green, 4 of 4 cases.

--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -137,7 +137,7 @@
 
 fn parse_millis(text: &str) -> Option<Duration> {
     let ms: f64 = text.trim().parse().ok()?;
-    (ms.is_finite() && ms >= 0.0).then(|| Duration::from_secs_f64(ms / 1_000.0))
+    Duration::try_from_secs_f64(ms / 1_000.0).ok()
 }
 
 fn parse_prompt_parts(text: &str) -> Vec<PromptPart> {
--- a/tests/routing/wire.rs
+++ b/tests/routing/wire.rs
@@ -218,3 +218,15 @@
 
     assert_eq!(parsed, expected);
 }
+
+/// Guards against a connection that ends by a panic because of a deadline that no clock can hold.
+#[rstest]
+#[case::too_large("1e30")]
+#[case::infinite("inf")]
+#[case::no_number("NaN")]
+#[case::negative("-5")]
+fn impossible_deadline_counts_as_none(#[case] deadline: &'static str) {
+    let head = parse_request_headers(&headers(&[("x-laburnumvalve-deadline-ms", deadline)]));
+
+    assert_eq!(head.timeout, None);
+}
