Answer a late request at the exit by its deadline

Trace: the request's deadline and the time of the last responses came in one wake-up of a busy machine, and the select took the latter.

Change: a request whose deadline has passed gets 504 in both cases. The test is unchanged; five runs of the file are green.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -59,7 +59,8 @@
         served = serve(&cx, &request, &record) => served,
         () = cx.wait_for_last_responses() => {
             record.set_reason("the instance exits before there is a response");
-            Err(Refusal::AnswerLost)
+            let is_late = request.time_left().is_zero();
+            Err(if is_late { Refusal::TimedOut } else { Refusal::AnswerLost })
         }
     };
     served.unwrap_or_else(|refusal| refuse(&record, refusal))
