Count windows whose sealed counts are lost apart from reported ones

Found at reading: after a return of the store from a copy, a window that is given up was counted as reported in usage_windows. Its log line was right.

--- a/src/gateway/usage.rs
+++ b/src/gateway/usage.rs
@@ -25,6 +25,9 @@
 const PUBLISH_PERIOD: Duration = Duration::from_millis(1_000);
 /// Period at which the lease holder checks for windows to report.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Outcome labels of a window that was reported, and of one whose sealed counts are lost.
+const REPORTED: &str = "reported";
+const LOST: &str = "lost";
 /// Maximum number of tallies of dead processes that are deleted per window.
 const MAX_DELETED_TALLIES: usize = 4;
 /// Number of windows after which a seal, and the tallies of a dead process, are deleted.
@@ -107,8 +110,8 @@
             let result =
                 report_window(&cx, &store, &duties, &duty_lease, &mut era_start, window).await;
             match result {
-                Ok(()) => {
-                    cx.metrics.add(Counter::UsageWindows, "reported", 1);
+                Ok(outcome) => {
+                    cx.metrics.add(Counter::UsageWindows, outcome, 1);
                     reported.insert(window);
                     reported.retain(|old| old + RETAINED_WINDOWS > window);
                 }
@@ -139,6 +142,7 @@
     unreported.filter(is_finalisable).collect()
 }
 
+/// Reports a window, or gives it up if its sealed counts are lost; returns the outcome label.
 async fn report_window(
     cx: &InstanceState,
     store: &Store,
@@ -146,7 +150,7 @@
     duty_lease: &DutyLease,
     era_start: &mut EraStart,
     window: u64,
-) -> Result<(), PlatformError> {
+) -> Result<&'static str, PlatformError> {
     let window_ms = cx.cfg().usage_window.as_millis().max(1) as u64;
     let counts = if era_start.may_seal(cx, store, (window + 1) * window_ms).await? {
         seal_window(cx, store, window).await?
@@ -155,7 +159,7 @@
             Ok(sealed) => sealed.spec,
             Err(PlatformError::NotFound) => {
                 tracing::warn!(window, "seal lost with an era of the store; window not reported");
-                return Ok(());
+                return Ok(LOST);
             }
             Err(error) => return Err(error),
         }
@@ -167,7 +171,7 @@
         Ok(()) => {
             let total: u64 = counts.values().sum();
             tracing::info!(window, total, fence = identity.fencing_token, "usage reported");
-            Ok(())
+            Ok(REPORTED)
         }
         Err(PlatformError::Conflict) => {
             duty_lease.record_rejection(&identity);
