Encode names of objects in the URLs of the platform's stores

Cause: the name after which a list continues went into the query as it was. The store read another one, gave earlier pages again, or left out the objects between the two. Related: names in the paths of calls for one object, in both clients; the duty holder that removed the entry edge-1#x deleted edge-1. Ruled out: values of odd types, which tests of gateway::entries cover and which pass on the program before.

Change: names are encoded where they enter a URL, and one that no path can hold is refused before the call. A list whose page ends where an earlier one did fails instead of going on without end, and its error names the page.

Red before: gateway::names, 20 of 28 cases. After: green.

--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -4,8 +4,11 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use reqwest::redirect::Policy;
 
+use super::PlatformError;
+
 /// Timeout of opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Timeout of opening a connection to another instance, after which the next one is tried.
@@ -15,6 +18,30 @@
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_HOST: usize = 4;
 
+/// Characters that are encoded in names: all but those without a meaning of their own in any part of
+/// a URL.
+const ENCODED_IN_NAMES: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
+/// Encodes a name as a value in the query of a URL.
+pub fn encode_query_value(name: &str) -> String {
+    utf8_percent_encode(name, ENCODED_IN_NAMES).to_string()
+}
+
+/// Encodes a name as one segment of the path of a URL.
+///
+/// # Errors
+/// [`PlatformError::Refused`] if no segment can hold it: an empty one names the collection, and `.`
+/// and `..` are resolved even if they are encoded.
+pub fn encode_path_segment(name: &str) -> Result<String, PlatformError> {
+    match name {
+        "" | "." | ".." => {
+            Err(PlatformError::Refused(format!("an object can't be named \"{name}\"")))
+        }
+        _ => Ok(encode_query_value(name)),
+    }
+}
+
 /// Creates a client that ignores proxy settings of the environment and follows no redirects.
 ///
 /// # Errors
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
-use super::http::{BodyError, read_limited};
+use super::http::{BodyError, encode_path_segment, encode_query_value, read_limited};
 
 /// API group and version of the objects of this program.
 const API_VERSION: &str = "laburnumvalve.dev/v1";
@@ -158,7 +158,7 @@
         kind: ObjectKind,
         name: &str,
     ) -> Result<Object<T>, PlatformError> {
-        let body = self.call(Method::GET, &self.url(kind, Some(name)), None).await?;
+        let body = self.call(Method::GET, &self.url(kind, name)?, None).await?;
         decode_object(body)
     }
 
@@ -170,7 +170,7 @@
         &self,
         kind: ObjectKind,
     ) -> Result<(Vec<Object<T>>, String), PlatformError> {
-        let body = self.call(Method::GET, &self.url(kind, None), None).await?;
+        let body = self.call(Method::GET, &self.collection_url(kind), None).await?;
         let list: EnvelopeList = from_value(body)?;
         let objects = list.items.into_iter().map(decode_envelope).collect::<Result<Vec<_>, _>>()?;
         Ok((objects, list.metadata.resource_version))
@@ -187,7 +187,7 @@
         spec: &T,
     ) -> Result<String, PlatformError> {
         let body = envelope(kind, name, None, spec)?;
-        let response = self.call(Method::POST, &self.url(kind, None), Some(body)).await?;
+        let response = self.call(Method::POST, &self.collection_url(kind), Some(body)).await?;
         Ok(from_value::<Envelope>(response)?.metadata.resource_version)
     }
 
@@ -203,7 +203,7 @@
         spec: &T,
     ) -> Result<String, PlatformError> {
         let body = envelope(kind, name, Some(version), spec)?;
-        let response = self.call(Method::PUT, &self.url(kind, Some(name)), Some(body)).await?;
+        let response = self.call(Method::PUT, &self.url(kind, name)?, Some(body)).await?;
         Ok(from_value::<Envelope>(response)?.metadata.resource_version)
     }
 
@@ -218,7 +218,7 @@
         version: &str,
     ) -> Result<(), PlatformError> {
         let body = json!({ "preconditions": { "resourceVersion": version } });
-        self.call(Method::DELETE, &self.url(kind, Some(name)), Some(body)).await.map(drop)
+        self.call(Method::DELETE, &self.url(kind, name)?, Some(body)).await.map(drop)
     }
 
     /// Waits for changes of one object after a version, for at most `wait`.
@@ -235,9 +235,11 @@
         after: &str,
         wait: Duration,
     ) -> Result<Vec<Change>, PlatformError> {
+        let selector = encode_query_value(&format!("metadata.name={name}"));
         let url = format!(
-            "{}?watch=1&fieldSelector=metadata.name%3D{name}&resourceVersion={after}&timeoutSeconds={}&maxEvents=1",
-            self.url(kind, None),
+            "{}?watch=1&fieldSelector={selector}&resourceVersion={}&timeoutSeconds={}&maxEvents=1",
+            self.collection_url(kind),
+            encode_query_value(after),
             wait.as_secs(),
         );
         let timeout = wait + CALL_TIMEOUT;
@@ -248,10 +250,12 @@
         text.lines().filter(|line| !line.trim().is_empty()).map(decode_change).collect()
     }
 
-    fn url(&self, kind: ObjectKind, name: Option<&str>) -> String {
-        let collection = kind.as_str();
-        let base = format!("{}/apis/{API_VERSION}/namespaces/default/{collection}", self.base);
-        name.map_or(base.clone(), |name| format!("{base}/{name}"))
+    fn collection_url(&self, kind: ObjectKind) -> String {
+        format!("{}/apis/{API_VERSION}/namespaces/default/{}", self.base, kind.as_str())
+    }
+
+    fn url(&self, kind: ObjectKind, name: &str) -> Result<String, PlatformError> {
+        Ok(format!("{}/{}", self.collection_url(kind), encode_path_segment(name)?))
     }
 
     async fn call(
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,5 +1,6 @@
 //! Client of the platform's metadata store.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -14,6 +15,7 @@
 
 use super::catalog::compact_server;
 use super::headers::base_url;
+use super::http::{encode_path_segment, encode_query_value};
 use super::objects::{Object, PlatformError, check_status, send_request};
 use crate::json_text::JsonText;
 use crate::routing::revision::{era_of, in_era, number_of};
@@ -286,9 +288,11 @@
         mut visit: impl FnMut(u64, Vec<WireObject<'_>>),
     ) -> Result<u64, PlatformError> {
         let mut after: Option<String> = None;
+        let mut continued_after = HashSet::new();
         let mut first_at = None;
         loop {
-            let query = after.as_ref().map(|name| format!("?after={name}")).unwrap_or_default();
+            let query = after.as_deref().map(encode_query_value);
+            let query = query.map(|name| format!("?after={name}")).unwrap_or_default();
             let url = format!("{}/{}{query}", self.base, collection.as_str());
             let rsp = self.call(Method::GET, &url, None).await?;
             let page: WireList<'_> = decode(&rsp.text)?;
@@ -305,11 +309,16 @@
             if !page.has_more {
                 return Ok(at);
             }
-            if last.is_none() || last == after {
-                let why = "a page has no readable object from which the list could continue";
-                return Err(PlatformError::Malformed(why.to_owned()));
+            let Some(last) = last else {
+                let why = format!("the page after {after:?} names no object to continue after");
+                return Err(PlatformError::Malformed(why));
+            };
+            if !continued_after.insert(last.clone()) {
+                let why =
+                    format!("the page after {after:?} ends at {last:?}, as an earlier one did");
+                return Err(PlatformError::Malformed(why));
             }
-            after = last;
+            after = Some(last);
         }
     }
 
@@ -356,7 +365,7 @@
         collection: Collection,
         name: &str,
     ) -> Result<Object<T>, PlatformError> {
-        let rsp = self.call(Method::GET, &self.url(collection, name), None).await?;
+        let rsp = self.call(Method::GET, &self.url(collection, name)?, None).await?;
         let wire: WireObject<'_> = decode(&rsp.text)?;
         let spec = wire.decode_value().map_err(PlatformError::Malformed)?;
         let version = in_era(rsp.era, wire.metadata.revision).to_string();
@@ -403,7 +412,7 @@
             metadata["revision"] = number_of(revision).into();
         }
         let body = json!({ "metadata": metadata, "spec": value });
-        version(&self.call(Method::PUT, &self.url(collection, name), Some(body)).await?)
+        version(&self.call(Method::PUT, &self.url(collection, name)?, Some(body)).await?)
     }
 
     /// Deletes an object.
@@ -411,12 +420,13 @@
     /// # Errors
     /// Returns the error of a failed call.
     pub async fn delete(&self, collection: Collection, name: &str) -> Result<(), PlatformError> {
-        let url = self.url(collection, name);
+        let url = self.url(collection, name)?;
         check_status(self.send(Method::DELETE, &url, None, CALL_TIMEOUT).await?.status)
     }
 
-    fn url(&self, collection: Collection, name: &str) -> String {
-        format!("{}/{}/{name}", self.base, collection.as_str())
+    fn url(&self, collection: Collection, name: &str) -> Result<String, PlatformError> {
+        let name = encode_path_segment(name)?;
+        Ok(format!("{}/{}/{name}", self.base, collection.as_str()))
     }
 
     /// Makes a call and returns its response, if that is a success.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod logs;
 mod memory;
 mod migration;
+mod names;
 mod notices;
 mod outage;
 mod paused;
--- a/tests/gateway/support/store.rs
+++ b/tests/gateway/support/store.rs
@@ -8,6 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode};
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
@@ -195,7 +196,8 @@
     async fn respond_to_call(&self, req: Request<Incoming>) -> Response<Body> {
         let path = req.uri().path().trim_start_matches("/laburnumvalve/objects/").to_owned();
         let (kind, name) = match path.split_once('/') {
-            Some((kind, name)) => (kind.to_owned(), Some(name.to_owned())),
+            Some((_, name)) if name.contains('/') => return status(StatusCode::NOT_FOUND),
+            Some((kind, name)) => (kind.to_owned(), Some(decode_name(name))),
             None => (path, None),
         };
         let query = req.uri().query().unwrap_or_default().to_owned();
@@ -204,7 +206,7 @@
         let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
         match (method, name) {
             (Method::GET, None) if query.contains("watch=") => self.watch(&kind, &query).await,
-            (Method::GET, None) => self.list(&kind, query.strip_prefix("after=")),
+            (Method::GET, None) => self.list(&kind, query_value(&query, "after").as_deref()),
             (Method::GET, Some(name)) => self.get(&kind, &name),
             (Method::POST, None) => self.create(&kind, &body),
             (Method::PUT, Some(name)) => self.replace(&kind, &name, &body),
@@ -301,6 +303,18 @@
     }
 }
 
+/// Decodes a name in the path of a URL.
+fn decode_name(text: &str) -> String {
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
+
+/// Returns a value of a query, decoded as that of a form.
+fn query_value(query: &str, name: &str) -> Option<String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let found = pairs.into_iter().find(|(found, _)| *found == name);
+    found.map(|(_, value)| decode_name(&value.replace('+', " ")))
+}
+
 /// Returns the JSON text of an object with a value.
 fn object(name: &str, revision: u64, value: &str) -> String {
     let metadata = json!({ "name": name, "revision": revision });
