Keep streams at the software version that began them

Callers saw streams with events of two software versions (ORDER): one that broke off went on at any server of its service, in the same answer, after a migration, or at the instance where its caller took it up again.

Cause: the version in a server's entry was not read, and an instance knew nothing of streams that began elsewhere.

Change: from its first event on, a request goes only to servers of the version that began it; all choices collect their servers in one place. What began a stream is told by datagram to three instances by rendezvous rank, and asked of them where the stream is taken up. A stream that nobody knows is refused as not run unless the service had only one version all the while. On split routes, the stream goes on at its own service. Ruled out: a choice by hash of the attempt ID, as versions come and go; records only while there are several versions, as a lost record would look like a stream from before.

Red before: gateway::versions, 9 of 9 cases, and gateway::migration::stream_is_migrated_only_to_its_version, 2 of 2.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! A single attempt to send a request to a backend server.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,7 +16,7 @@
 use super::links::{Connection, ConnectionError};
 use super::shared::InstanceState;
 use super::upload::Upload;
-use crate::names::{BackendServerName, OrganisationName};
+use crate::names::{BackendServerName, OrganisationName, SoftwareVersion};
 use crate::platform::engine::MigratedKvCache;
 use crate::platform::headers::{self, RequestHead, ResponseKind, SendHead};
 use crate::routing::catalog::{Organisation, RequestKind, Route, Service};
@@ -62,6 +62,8 @@
     pub deadline: Instant,
     /// Whether the request was already counted for usage reports.
     pub usage_counted: Cell<bool>,
+    /// Software version that began the stream; `None` before its first event.
+    pub version: OnceCell<SoftwareVersion>,
 }
 
 impl AdmittedRequest {
@@ -70,6 +72,12 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns whether a backend server with a software version may run the request, or go on with
+    /// its stream.
+    pub fn may_go_on_at(&self, version: &SoftwareVersion) -> bool {
+        self.version.get().is_none_or(|began_by| began_by == version)
+    }
+
     fn organisation_name(&self) -> Option<&OrganisationName> {
         self.organisation.as_ref().map(|organisation| &organisation.name)
     }
@@ -119,6 +127,8 @@
     is_answered: Cell<bool>,
     /// Start of the process that the request was sent to, as registered.
     started_at_ms: Option<u64>,
+    /// Version of the software of that process.
+    version: SoftwareVersion,
     /// Backend server that executes the request.
     pub server: BackendServerName,
     /// Address that the request was sent to.
@@ -136,6 +146,13 @@
         }
     }
 
+    /// Records that the first event of a stream was received, which can go on only at servers with the
+    /// same software from now on.
+    pub fn begin_stream(&self) {
+        let version = self.request.version.get_or_init(|| self.version.clone());
+        self.cx.origins.record_start(&self.cx, &self.request, version);
+    }
+
     /// Records that a part of the answer was received, which shows that the prompt doesn't crash
     /// the backend server.
     pub fn mark_answered(&self) {
@@ -295,6 +312,7 @@
         prefill_tokens: Cell::new(choice.prefill_tokens),
         is_answered: Cell::new(false),
         started_at_ms: server.entry.started_at_ms,
+        version: server.entry.version.clone(),
         server: choice.server.clone(),
         address: server.entry.address,
     }
--- a/src/gateway/gauges.rs
+++ b/src/gateway/gauges.rs
@@ -35,6 +35,7 @@
     metrics.set_gauge("open_connections", INSTANCE_LABEL, *cx.open_connections.borrow() as u64);
     metrics.set_gauge("log_lines_dropped", INSTANCE_LABEL, dropped_lines());
     let (suspected, quarantined) = cx.evidence.counts();
+    metrics.set_gauge("stream_origins_known", INSTANCE_LABEL, cx.origins.count() as u64);
     metrics.set_gauge("prompt_parts_suspected", INSTANCE_LABEL, suspected as u64);
     metrics.set_gauge("prompt_parts_quarantined", INSTANCE_LABEL, quarantined as u64);
     for (service, counts) in count_servers(cx) {
--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -1,5 +1,6 @@
 //! Request handling: admission, attempts with retries, and the response.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -101,10 +102,28 @@
     })?;
     head.demand.body_bytes = body.bytes.len();
     let service = route.pick_service(rand::random()).and_then(|name| catalog.service(name));
-    let Some(service) = service.cloned() else {
+    let Some(mut service) = service.cloned() else {
         record.set_reason("the configuration defines no service for the route");
         return Err(REFUSED_NOT_RUN);
     };
+    let version = OnceCell::new();
+    if head.is_resumption && route.request_kind.is_stream() {
+        let began_by = head.resumed_attempt.as_ref();
+        let (origin, known_by) = cx.origins.find(cx, &route, &service.name, began_by).await;
+        record.stream_taken_up(began_by, origin.as_ref(), known_by);
+        let Some(origin) = origin else {
+            record.set_reason("it isn't known which software version began the stream");
+            return Err(REFUSED_NOT_RUN);
+        };
+        if route.leads_to(&origin.service)
+            && let Some(began_by) = catalog.service(&origin.service)
+        {
+            service = began_by.clone();
+        }
+        if service.name == origin.service {
+            let _ = version.set(origin.version);
+        }
+    }
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = received_at + timeout;
     if !cx.admits(deadline) {
@@ -125,6 +144,7 @@
         received_at,
         deadline,
         usage_counted: false.into(),
+        version,
         head,
         route,
     })
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -214,7 +214,8 @@
     }
 }
 
-async fn wait_for_members(cx: &InstanceState) {
+/// Waits until an instance is known.
+pub(super) async fn wait_for_members(cx: &InstanceState) {
     let mut changes = cx.changes.subscribe();
     while cx.members.borrow().count() == 0 && changes.changed().await.is_ok() {}
 }
@@ -231,7 +232,7 @@
     let cfg = cx.cfg();
     let others: Vec<_> = cfg.seeds.iter().filter(|seed| **seed != cfg.peer_address).collect();
     let address = **others.get(rand::random_range(0..others.len().max(1)))?;
-    let member = Member { data_centre: data_centre.clone(), address };
+    let member = Member { data_centre: data_centre.clone(), address, datagram_port: None };
     Some((format!("seed {address}").as_str().into(), member))
 }
 
--- a/src/gateway/record.rs
+++ b/src/gateway/record.rs
@@ -4,11 +4,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use hyper::header::HeaderValue;
+
 use crate::clock::BootTime;
 use crate::metrics::{Counter, DurationMetric};
 use crate::names::{BackendServerName, OrganisationName, RouteName};
 use crate::routing::choose::Choice;
+use crate::routing::origins::Origin;
 
+use super::origins::KnownBy;
 use super::shared::InstanceState;
 
 /// Log target of the line that is written at the end of a request.
@@ -140,6 +144,25 @@
         );
     }
 
+    /// Records what began the stream that the caller takes up, as far as that is known.
+    pub fn stream_taken_up(
+        &self,
+        began_by: Option<&HeaderValue>,
+        origin: Option<&Origin>,
+        known_by: KnownBy,
+    ) {
+        self.cx.metrics.add(Counter::ResumedStreams, known_by.label(), 1);
+        tracing::info!(
+            target: SEND_LOG_TARGET,
+            id = self.id,
+            began_by = began_by.and_then(|id| id.to_str().ok()),
+            service = origin.map(|origin| origin.service.as_str()),
+            version = origin.map(|origin| origin.version.as_str()),
+            known_by = known_by.label(),
+            "stream taken up"
+        );
+    }
+
     /// Records that a stream broke off after it had begun.
     pub fn stream_interrupted(&self) {
         let urgency = self.fields.borrow().urgency.map_or("none".to_owned(), |u| u.to_string());
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -144,6 +144,7 @@
             Ok(Ok(bytes)) => {
                 if let Some((_, run)) = &self.current_run {
                     run.mark_started();
+                    run.begin_stream();
                 }
                 Ok(bytes)
             }
--- a/src/gateway/roster.rs
+++ b/src/gateway/roster.rs
@@ -56,7 +56,11 @@
 
 fn own_entry(cx: &InstanceState) -> Member {
     let cfg = cx.cfg();
-    Member { data_centre: cfg.data_centre.clone(), address: cfg.peer_address }
+    Member {
+        data_centre: cfg.data_centre.clone(),
+        address: cfg.peer_address,
+        datagram_port: Some(cfg.datagram_address.port()),
+    }
 }
 
 async fn write_entry(cx: &InstanceState, store: &Store) {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,7 +12,7 @@
 use super::ingress::{self, ACCEPT_GRACE};
 use super::settings::GatewaySettings;
 use super::shared::{InstanceState, ShutdownTimes};
-use super::{evidence, listen, peers, pulls, roster, scaling, state, status, sync, usage};
+use super::{evidence, listen, origins, peers, pulls, roster, scaling, state, status, sync, usage};
 use crate::clock::{BootTime, wall_millis};
 use crate::platform::duties::DutyClient;
 use crate::platform::settings::parse;
@@ -123,6 +123,7 @@
     let client = http::peer_client()?;
     tokio::task::spawn_local(peers::sync_from_peers(cx.clone(), client.clone()));
     tokio::task::spawn_local(evidence::exchange(cx.clone(), client.clone(), timer.clone()));
+    tokio::task::spawn_local(origins::receive(cx.clone()));
     let duty_lease = Rc::new(DutyLease::default());
     let lease_task =
         tokio::task::spawn_local(duty::maintain(cx.clone(), store.clone(), duty_lease.clone()));
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -34,6 +34,8 @@
     pub peer_address: SocketAddr,
     /// Address that serves metrics.
     pub metrics_address: SocketAddr,
+    /// Address for datagrams of peers.
+    pub datagram_address: SocketAddr,
     /// Peers to pull from while no other instance is known.
     pub seeds: Vec<SocketAddr>,
     /// Address of the platform's metadata store.
@@ -90,6 +92,7 @@
             ready_address: unset,
             peer_address: unset,
             metrics_address: unset,
+            datagram_address: unset,
             seeds: Vec::new(),
             store_address: unset,
             duties_address: None,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -10,6 +10,7 @@
 use super::attempt::AdmittedRequest;
 use super::evidence::SharedEvidence;
 use super::links::{Connection, ConnectionPool, max_idle_per_instance};
+use super::origins::SharedOrigins;
 use super::settings::GatewaySettings;
 use super::upload::BodyBudget;
 use crate::clock::{BootTime, wall_millis};
@@ -98,6 +99,8 @@
     pub pool: ConnectionPool,
     /// Evidence against prompt parts that crash backend servers.
     pub evidence: SharedEvidence,
+    /// What began the streams that may be taken up again.
+    pub origins: SharedOrigins,
     /// Counts of executed requests for usage reports.
     pub tallies: RefCell<Tallies>,
     /// Name under which this process counts requests; unique across restarts.
@@ -142,6 +145,7 @@
             loads: RefCell::default(),
             pool: ConnectionPool::default(),
             evidence: SharedEvidence::default(),
+            origins: SharedOrigins::default(),
             tallies: RefCell::default(),
             clock: RefCell::new(StepFilteredClock::new(wall_millis(), BootTime::now())),
             metrics: Metrics::default(),
@@ -353,7 +357,7 @@
         let cfg = self.cfg();
         let fleet = self.fleet.borrow();
         let loads = self.loads.borrow();
-        let candidates = self.candidates(now, &request.service, history, &fleet, &loads);
+        let candidates = self.candidates(now, request, history, &fleet, &loads);
         let settings = self.choice_settings(request, &cfg, &candidates);
         let demand = &request.head.demand;
         let choice = choose(now, &settings, &cfg.data_centre, demand, &candidates, &loads)?;
@@ -372,7 +376,7 @@
         let cfg = self.cfg();
         let fleet = self.fleet.borrow();
         let loads = self.loads.borrow();
-        let engines = self.candidates(now, &request.service, history, &fleet, &loads);
+        let engines = self.candidates(now, request, history, &fleet, &loads);
         let settings = self.choice_settings(request, &cfg, &engines);
         let demand = &request.head.demand;
         let choice =
@@ -385,15 +389,17 @@
     fn candidates<'a>(
         &self,
         now: Instant,
-        service: &'a Service,
+        request: &'a AdmittedRequest,
         history: &SendHistory,
         fleet: &'a Fleet,
         loads: &Loads,
     ) -> Vec<&'a Server> {
-        let untried = fleet.usable(&service.name).filter(|s| !history.contains(&s.entry.name));
+        let untried =
+            fleet.usable(&request.service.name).filter(|s| !history.contains(&s.entry.name));
         let untried = untried.filter(|s| fleet.pause_left(now, &s.entry).is_none());
+        let fitting = untried.filter(|s| request.may_go_on_at(&s.entry.version));
         let with_capacity: Vec<&Server> =
-            untried.filter(|s| self.has_cold_capacity(now, service, s)).collect();
+            fitting.filter(|s| self.has_cold_capacity(now, &request.service, s)).collect();
         let with_capacity = history.prefer_reachable(with_capacity);
         let is_ejected =
             |s: &&Server| loads.get(&s.entry.name).is_some_and(|load| load.is_ejected(now));
@@ -402,10 +408,12 @@
         if healthy.is_empty() { with_capacity } else { healthy }
     }
 
-    /// Returns whether a backend server that was chosen still takes requests.
+    /// Returns whether a backend server that was chosen still takes requests, with the same software.
     pub fn takes_requests(&self, entry: &Registration) -> bool {
         let fleet = self.fleet.borrow();
-        fleet.is_usable(&entry.name) && fleet.pause_left(Instant::now(), entry).is_none()
+        fleet.get(&entry.name).is_some_and(|known| known.entry.version == entry.version)
+            && fleet.is_usable(&entry.name)
+            && fleet.pause_left(Instant::now(), entry).is_none()
     }
 
     /// Returns whether a backend server is warm, or this instance may send it another request while
@@ -478,6 +486,7 @@
     /// Drops the state of backend servers that no longer exist.
     pub fn sweep(&self) {
         self.evidence.sweep();
+        self.origins.sweep();
         self.fleet.borrow_mut().purge_lapsed(Instant::now());
         let fleet = self.fleet.borrow();
         self.pool.close_expired(|name| fleet.get(name).is_some());
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -35,6 +35,8 @@
     Migrations,
     /// Streams that broke off after they had begun, by urgency.
     InterruptedStreams,
+    /// Streams that callers take up again, by where it is known what began them.
+    ResumedStreams,
     /// Calls to the platform, by kind.
     PlatformCalls,
     /// Calls to the platform that failed, by kind.
@@ -70,6 +72,7 @@
             Self::Quarantined => ("quarantined_requests_total", "class"),
             Self::Migrations => ("migrations_total", "outcome"),
             Self::InterruptedStreams => ("interrupted_streams_total", "urgency"),
+            Self::ResumedStreams => ("resumed_streams_total", "origin"),
             Self::PlatformCalls => ("platform_calls_total", "kind"),
             Self::PlatformFailures => ("platform_failures_total", "kind"),
             Self::UsageWindows => ("usage_windows_total", "outcome"),
--- a/src/names.rs
+++ b/src/names.rs
@@ -15,6 +15,8 @@
     DataCentreName
     /// Name of a backend server.
     BackendServerName
+    /// Version of a backend server's software; empty if its entry states none.
+    SoftwareVersion
     /// Name of an instance of this program.
     InstanceName
     /// Public identifier of a key, safe to print.
--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -19,6 +19,9 @@
 /// Maximum size of the used fields of a backend server's entry: some twenty times that of the usual
 /// ones.
 const MAX_SERVER_ENTRY_BYTES: usize = 4 << 10;
+/// Maximum size of the version of a backend server's software, which instances send each other for
+/// every stream.
+const MAX_VERSION_BYTES: usize = 128;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -107,6 +110,9 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    /// Version of the software, not of a model's weights.
+    #[serde(default)]
+    version: String,
     slots: f64,
     state: String,
     /// Remaining cold period. A cold server isn't slow, but can take only few requests.
@@ -223,7 +229,7 @@
 /// Decodes the entry of a backend server.
 ///
 /// # Errors
-/// Fails if a field is missing or has the wrong type, or if the state is unknown.
+/// Fails if a field is missing, too long or of the wrong type, or if the state is unknown.
 pub fn decode_server(id: &str, spec: &str) -> Result<Registration, String> {
     let wire: WireServer = serde_json::from_str(spec).map_err(|error| error.to_string())?;
     let is_draining = match wire.state.as_str() {
@@ -231,11 +237,18 @@
         "draining" => true,
         other => return Err(format!("state \"{other}\" is unknown")),
     };
+    let length = wire.version.len();
+    if length > MAX_VERSION_BYTES {
+        return Err(format!(
+            "the version has {length} bytes instead of at most {MAX_VERSION_BYTES}"
+        ));
+    }
     Ok(Registration {
         name: id.into(),
         service: wire.service.into(),
         address: wire.address,
         data_centre: wire.zone.into(),
+        version: wire.version.into(),
         slots: wire.slots as u32,
         is_draining,
         remaining_cold_period: millis(wire.cold_remaining_ms.unwrap_or_default()),
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -22,6 +22,8 @@
 const TOKEN_COUNTS: HeaderName = HeaderName::from_static("x-laburnumvalve-token-counts");
 const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-laburnumvalve-prompt-prefix");
 const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// Attempt ID of the caller's attempt that brought the first event of the stream that it takes up.
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const SEAL: HeaderName = HeaderName::from_static("x-laburnumvalve-response-seal");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-laburnumvalve-not-executed");
 const LOAD: HeaderName = HeaderName::from_static("x-laburnumvalve-instance-load");
@@ -80,6 +82,11 @@
     pub demand: Demand,
     /// Last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Identifier of the attempt that began the stream, if the caller resumes one.
+    pub resumed_attempt: Option<HeaderValue>,
+    /// Whether the caller resumes a stream, also if it doesn't say which, or from where in a way that
+    /// can't be read.
+    pub is_resumption: bool,
 }
 
 /// Values of the headers that this program sets on one send of a request.
@@ -132,6 +139,8 @@
             body_bytes: 0,
         },
         last_event: text(&LAST_EVENT_ID).and_then(number),
+        resumed_attempt: headers.get(&RESUMES).cloned(),
+        is_resumption: headers.contains_key(&LAST_EVENT_ID) || headers.contains_key(&RESUMES),
     }
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -116,8 +116,9 @@
     const S: Duration = Duration::from_secs(1);
     let default = GatewaySettings::default();
     let peer_address = fields.parse_required("listen.control", default.peer_address);
-    // The first internal port serves metrics, as declared to the platform in deploy/system.toml.
-    let metrics_port = metrics_port(fields);
+    // The first internal port serves metrics, as declared to the platform in deploy/system.toml, and
+    // by UDP datagrams of peers.
+    let internal_address = SocketAddr::new(peer_address.ip(), first_internal_port(fields));
     let budget = RetryBudgetSettings {
         ratio: fields.parse_optional("bounds.retry-budget-ratio").unwrap_or(default.budget.ratio),
         slack: fields.parse_optional("bounds.budget-slack").unwrap_or(default.budget.slack),
@@ -133,7 +134,8 @@
         data_centre: fields.parse_required("zone", String::new()).into(),
         request_address: fields.parse_required("listen.front", default.request_address),
         ready_address: fields.parse_required("listen.ready", default.ready_address),
-        metrics_address: SocketAddr::new(peer_address.ip(), metrics_port),
+        metrics_address: internal_address,
+        datagram_address: internal_address,
         peer_address,
         seeds: fields.parse_addresses("seeds"),
         store_address: fields.parse_required("platform.address", default.store_address),
@@ -159,7 +161,7 @@
     }
 }
 
-fn metrics_port(fields: &mut Fields<'_>) -> u16 {
+fn first_internal_port(fields: &mut Fields<'_>) -> u16 {
     let text = fields.values.get("internal-ports").copied().unwrap_or_default();
     match text.split(',').next().unwrap_or_default().parse() {
         Ok(port) => port,
--- a/src/routing/catalog.rs
+++ b/src/routing/catalog.rs
@@ -75,6 +75,11 @@
 }
 
 impl Route {
+    /// Returns whether a part of the traffic goes to a service.
+    pub fn leads_to(&self, service: &ServiceName) -> bool {
+        self.weighted_services.iter().any(|share| share.service == *service && share.weight > 0)
+    }
+
     /// Picks a service by weight; `sample` is a uniform random number in 0..1.
     pub fn pick_service(&self, sample: f64) -> Option<&ServiceName> {
         let total: f64 = self.weighted_services.iter().map(|share| f64::from(share.weight)).sum();
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::names::{BackendServerName, DataCentreName};
+use crate::names::{BackendServerName, DataCentreName, SoftwareVersion};
 use crate::routing::catalog::ServiceName;
 use crate::routing::notices::{Notice, Notices};
 use crate::routing::revision::era_of;
@@ -20,6 +20,9 @@
 /// removal.
 const TOMBSTONE_RETENTION: Duration = Duration::from_secs(30);
 
+/// Retention period of the versions that a service no longer has.
+const FORMER_VERSION_RETENTION: Duration = Duration::from_secs(300);
+
 /// A backend server as registered.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
@@ -31,6 +34,8 @@
     pub address: SocketAddr,
     /// Data centre that it runs in.
     pub data_centre: DataCentreName,
+    /// Version of its software. A stream can go on only at the version that began it.
+    pub version: SoftwareVersion,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Whether it is draining.
@@ -105,6 +110,10 @@
     address_owners: HashMap<SocketAddr, BackendServerName>,
     /// Removed entries; their backend servers may continue to serve for a while.
     tombstones: HashMap<BackendServerName, Tombstone>,
+    /// When a backend server of a service with a software version was last removed or replaced.
+    former_versions: HashMap<(ServiceName, SoftwareVersion), Instant>,
+    /// When the first list of entries was received.
+    known_since: Option<Instant>,
     notices: Notices,
     evacuated: HashSet<DataCentreName>,
     is_registry_unavailable: bool,
@@ -127,6 +136,7 @@
             self.registry_recovered_at = Some(now);
             self.copied_revision = revision;
         }
+        self.known_since.get_or_insert(now);
         let names: HashSet<_> = listed.iter().map(|(_, entry)| entry.name.clone()).collect();
         let unlisted: Vec<_> =
             self.servers.keys().filter(|name| !names.contains(*name)).cloned().collect();
@@ -171,6 +181,11 @@
         };
         let draining_since =
             entry.is_draining.then(|| known.and_then(|known| known.draining_since).unwrap_or(now));
+        if let Some(former) = known.map(|known| known.entry.clone())
+            && (&former.service, &former.version) != (&entry.service, &entry.version)
+        {
+            self.record_former_version(now, &former);
+        }
         self.tombstones.remove(&entry.name);
         self.assign_address(revision, &entry);
         let server = Server {
@@ -199,6 +214,7 @@
         let known = self.servers.remove(name);
         if let Some(known) = &known {
             self.release_address(known);
+            self.record_former_version(now, &known.entry);
         }
         let since = known.as_ref().and_then(|known| known.draining_since).unwrap_or(now);
         let started_at_ms = known.and_then(|known| known.entry.started_at_ms);
@@ -224,8 +240,13 @@
         if !self.may_lapse_spuriously(now) {
             let lapsed = self.servers.extract_if(|_, server| server.lapsed.is_some());
             let lapsed: Vec<Server> = lapsed.map(|(_, server)| server).collect();
-            lapsed.iter().for_each(|server| self.release_address(server));
+            for server in &lapsed {
+                self.release_address(server);
+                self.record_former_version(now, &server.entry);
+            }
         }
+        self.former_versions
+            .retain(|_, removed_at| now.duration_since(*removed_at) < FORMER_VERSION_RETENTION);
         self.tombstones
             .retain(|_, tombstone| now.duration_since(tombstone.since) < TOMBSTONE_RETENTION);
         let is_known = |name: &BackendServerName| {
@@ -315,6 +336,32 @@
         self.servers.get(name)
     }
 
+    /// Returns the only software version that a service has had for a time; `None` if there were
+    /// several, or the entries are not known for so long.
+    pub fn only_version(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        time: Duration,
+    ) -> Option<&SoftwareVersion> {
+        let is_recent = |at: Instant| now.duration_since(at) < time;
+        if time > FORMER_VERSION_RETENTION || self.known_since.is_none_or(is_recent) {
+            return None;
+        }
+        let current = self.servers.values().map(|server| &server.entry);
+        let current = current.map(|entry| (&entry.service, &entry.version));
+        let former = self.former_versions.iter().filter(|(_, removed_at)| is_recent(**removed_at));
+        let former = former.map(|((service, version), _)| (service, version));
+        let mut versions = current.chain(former).filter(|(of, _)| *of == service).map(|(_, v)| v);
+        let version = versions.next()?;
+        versions.all(|other| other == version).then_some(version)
+    }
+
+    fn record_former_version(&mut self, now: Instant, former: &Registration) {
+        let key = (former.service.clone(), former.version.clone());
+        self.former_versions.insert(key, now);
+    }
+
     /// Returns the evacuated data centres.
     pub fn evacuated(&self) -> &HashSet<DataCentreName> {
         &self.evacuated
--- a/src/routing/members.rs
+++ b/src/routing/members.rs
@@ -23,6 +23,16 @@
         pub data_centre: DataCentreName,
         /// Address for peers.
         pub address: SocketAddr,
+        /// Port for datagrams of peers, at the same IP address. Earlier versions have none.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub datagram_port: Option<u16>,
+    }
+}
+
+impl Member {
+    /// Returns the address for datagrams of peers.
+    pub fn datagram_address(&self) -> Option<SocketAddr> {
+        Some(SocketAddr::new(self.address.ip(), self.datagram_port?))
     }
 }
 
@@ -132,6 +142,28 @@
         others().nth((sample * count as f64) as usize)
     }
 
+    /// Returns the addresses for datagrams of the `count` instances with the highest rank for a key,
+    /// apart from `this_instance`.
+    pub fn datagram_addresses(
+        &self,
+        this_instance: &InstanceName,
+        key: u64,
+        count: usize,
+    ) -> Vec<SocketAddr> {
+        let mut reachable: Vec<_> = self
+            .all
+            .iter()
+            .filter_map(|(name, member)| Some((name, member.datagram_address()?)))
+            .map(|(name, address)| (Reverse(rendezvous_weight(name.as_str(), key)), name, address))
+            .collect();
+        let count = count.min(reachable.len());
+        if count < reachable.len() {
+            reachable.select_nth_unstable(count);
+        }
+        let first = reachable.into_iter().take(count);
+        first.filter(|(_, name, _)| *name != this_instance).map(|(.., address)| address).collect()
+    }
+
     fn is_skipped(&self, now: Instant, name: &InstanceName) -> bool {
         self.skipped_until.get(name).is_some_and(|until| now < *until)
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,3 +19,4 @@
 mod support;
 mod surplus;
 mod trouble;
+mod versions;
--- a/tests/gateway/migration.rs
+++ b/tests/gateway/migration.rs
@@ -97,6 +97,38 @@
     }
 }
 
+/// Guards against a stream with events of two software versions: a run that is migrated to an engine of
+/// another one.
+#[rstest]
+#[case::no_engine_of_the_version(&["v2"], 0)]
+#[case::an_engine_of_the_version(&["v2", "v1", "v2"], 1)]
+#[tokio::test]
+async fn stream_is_migrated_only_to_its_version(#[case] versions: &[&str], #[case] moved: u32) {
+    let fx = fixture().await;
+    let streams = fx.start_streams(&[ATTEMPT_ID.to_owned()]).await;
+    let mut engines = Vec::new();
+    for (number, version) in versions.iter().enumerate() {
+        let name = format!("engine-{number}");
+        let engine = fx.engines.start(&name, true).await;
+        let mut entry = engine.entry("kolkata-a", "ready");
+        entry["version"] = (*version).into();
+        fx.store.put("servers", &name, entry);
+        engines.push((*version, engine));
+    }
+
+    fx.store.put("servers", "leaving", fx.leaving.entry("kolkata-a", "draining"));
+    tokio::time::sleep(NOTICE_TIME).await;
+    fx.leaving.exit();
+    for rsp in streams {
+        let text = rsp.text().await;
+        assert_eq!(text.is_ok_and(|text| text == full_stream(ATTEMPT_ID)), moved > 0);
+    }
+
+    for (version, engine) in engines {
+        assert_eq!(engine.runs(), if version == "v1" { moved } else { 0 }, "at {version}");
+    }
+}
+
 #[tokio::test]
 async fn stream_of_a_leaving_engine_continues_at_an_engine_with_room() {
     let fx = fixture().await;
--- /dev/null
+++ b/tests/gateway/versions.rs
@@ -0,0 +1,253 @@
+//! Streams of services whose backend servers run several versions of their software.
+
+use std::collections::HashMap;
+
+use rstest::rstest;
+
+use crate::support::instance::InstanceSettings;
+use crate::support::runner::full_stream;
+use crate::support::{Fault, Instance, StandInBackend, StandInStore, config, wait_until};
+
+/// Number of streams of a test.
+const STREAMS: usize = 16;
+
+/// A backend server with a version of its software.
+struct Versioned {
+    version: &'static str,
+    server: StandInBackend,
+}
+
+/// A store, and backend servers of one service.
+struct Fixture {
+    store: StandInStore,
+    servers: Vec<Versioned>,
+}
+
+/// Starts backend servers with the given versions and faults.
+async fn fixture(servers: &[(&'static str, Fault)]) -> Fixture {
+    let store = StandInStore::start().await;
+    store.put("config", "main", config(1, &["key"]));
+    let mut fx = Fixture { store, servers: Vec::new() };
+    for (version, fault) in servers {
+        fx.add(version, *fault).await;
+    }
+    fx
+}
+
+/// A run of a stream: the version that it ran at, and the last event that its caller had.
+type RunAt = (&'static str, Option<u64>);
+
+impl Fixture {
+    async fn add(&mut self, version: &'static str, fault: Fault) {
+        let server = StandInBackend::start(&format!("runner-{}", self.servers.len())).await;
+        server.set_fault(fault);
+        let mut entry = server.entry();
+        entry["version"] = version.into();
+        self.store.put("servers", &server.name(), entry);
+        self.servers.push(Versioned { version, server });
+    }
+
+    fn settings(&self, number: usize) -> InstanceSettings {
+        let name = format!("instance-{number}");
+        InstanceSettings { name, store: self.store.address, ..Default::default() }
+    }
+
+    /// Starts an instance, which knows that it is one of so many.
+    async fn start_instance(&self, number: usize) -> Instance {
+        let instance = Instance::start(self.settings(number)).await;
+        let listed = format!("instances_listed{{name=\"instance\"}} {number}\n");
+        wait_until("the instances know each other", || async {
+            instance.metrics().await.contains(&listed)
+        })
+        .await;
+        instance
+    }
+
+    /// Returns the runs of an attempt in the order of their start.
+    fn runs(&self, attempt: &str) -> Vec<RunAt> {
+        let all = self
+            .servers
+            .iter()
+            .flat_map(|at| at.server.runs().into_iter().map(move |run| (run.at, at.version, run)));
+        let mut of_attempt: Vec<_> =
+            all.filter(|(.., run)| run.text("x-laburnumvalve-attempt-id") == attempt).collect();
+        of_attempt.sort_by_key(|(at, ..)| *at);
+        let runs = of_attempt.into_iter();
+        runs.map(|(_, version, run)| (version, run.text("last-event-id").parse().ok())).collect()
+    }
+}
+
+fn attempt(number: usize) -> String {
+    format!("attempt-{number}")
+}
+
+/// Starts a resumable stream.
+async fn start_stream(instance: &Instance, id: &str) -> reqwest::Response {
+    let mut req = instance.request("/job/1", "key").build().expect("it is valid");
+    let id = id.parse().expect("the ID is a valid header");
+    req.headers_mut().insert("x-laburnumvalve-attempt-id", id);
+    instance.execute(req).await.expect("there is a response")
+}
+
+/// Takes a stream up again after its second event.
+async fn resume_stream(instance: &Instance, id: &str, began_by: Option<&str>) -> reqwest::Response {
+    let mut req = instance.request("/job/1", "key").header("last-event-id", "2");
+    if let Some(began_by) = began_by {
+        req = req.header("resumes", began_by);
+    }
+    let mut req = req.build().expect("it is valid");
+    let id = id.parse().expect("the ID is a valid header");
+    req.headers_mut().insert("x-laburnumvalve-attempt-id", id);
+    instance.execute(req).await.expect("there is a response")
+}
+
+/// Starts streams, and reads the first event of each.
+async fn start_streams(instance: &Instance) -> Vec<reqwest::Response> {
+    let started = (0..STREAMS).map(|number| async move {
+        let mut rsp = start_stream(instance, &attempt(number)).await;
+        rsp.chunk().await.expect("the stream has begun").expect("it has an event");
+        rsp
+    });
+    futures::future::join_all(started).await
+}
+
+/// Guards against a stream with events of two software versions: an instance that goes on, in the same
+/// answer, with a stream which broke off.
+#[rstest]
+#[case::no_other_server_of_the_version(&[("v1", Fault::CutStream), ("v2", Fault::None)], false)]
+#[case::another_server_of_the_version(
+    &[("v1", Fault::CutStream), ("v1", Fault::None), ("v2", Fault::None), ("v2", Fault::None)],
+    true
+)]
+#[tokio::test]
+async fn broken_stream_goes_on_only_at_its_version(
+    #[case] servers: &[(&'static str, Fault)],
+    #[case] is_whole: bool,
+) {
+    let fx = fixture(servers).await;
+    let instance = Instance::start(fx.settings(1)).await;
+
+    let mut broken = 0;
+    for number in 0..STREAMS {
+        let id = attempt(number);
+        let text = start_stream(&instance, &id).await.text().await;
+
+        let runs = fx.runs(&id);
+        assert!(runs.iter().all(|(version, _)| *version == runs[0].0), "{id}: {runs:?}");
+        let ran_whole = text.is_ok_and(|text| text == full_stream(&id));
+        let was_cut = runs.len() > 1 || !ran_whole;
+        assert!(ran_whole || !is_whole, "{id}: {runs:?}");
+        broken += usize::from(was_cut);
+    }
+    assert!(broken > 0, "no stream began at the server that cuts it");
+}
+
+/// How an instance learns what began a stream.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Taker {
+    /// It served the stream itself.
+    Same,
+    /// It was told when the stream began.
+    Other,
+    /// It started later, and asks.
+    Later,
+}
+
+/// Guards against a stream with events of two software versions: a caller that takes a stream up again,
+/// at the same instance or another one, also after the one that served it was killed.
+#[rstest]
+#[case::same(Taker::Same)]
+#[case::other(Taker::Other)]
+#[case::later(Taker::Later)]
+#[tokio::test]
+async fn stream_that_is_taken_up_goes_on_at_its_version(#[case] taker: Taker) {
+    let fx = fixture(&[("v1", Fault::None), ("v2", Fault::None), ("v2", Fault::None)]).await;
+    let mut first = fx.start_instance(1).await;
+    let second = fx.start_instance(2).await;
+    let known = "instances_listed{name=\"instance\"} 2\n";
+    wait_until("the first one knows both", || async { first.metrics().await.contains(known) })
+        .await;
+
+    let started = start_streams(&first).await;
+    drop(started);
+    let third;
+    let instance = match taker {
+        Taker::Same => &first,
+        Taker::Other => {
+            first.kill();
+            &second
+        }
+        Taker::Later => {
+            first.kill();
+            third = fx.start_instance(3).await;
+            &third
+        }
+    };
+
+    let mut versions: HashMap<&str, usize> = HashMap::new();
+    for number in 0..STREAMS {
+        let (id, began_by) = (format!("again-{number}"), attempt(number));
+        let rsp = resume_stream(instance, &id, Some(&began_by)).await;
+        assert_eq!(rsp.status(), 200, "{id}");
+        let (began, went_on) = (fx.runs(&began_by), fx.runs(&id));
+        assert_eq!(went_on, [(began[0].0, Some(2))], "{id} after {began:?}");
+        *versions.entry(began[0].0).or_default() += 1;
+    }
+    assert_eq!(versions.len(), 2, "all streams began at one version: {versions:?}");
+}
+
+/// Guards against a stream that goes on at any version, as nobody knows what began it: it is refused,
+/// and has not run.
+#[rstest]
+#[case::of_an_unknown_attempt(Some("attempt-unknown"))]
+#[case::without_an_attempt(None)]
+#[tokio::test]
+async fn stream_of_unknown_origin_is_refused(#[case] began_by: Option<&str>) {
+    let fx = fixture(&[("v1", Fault::None), ("v2", Fault::None)]).await;
+    let instance = fx.start_instance(1).await;
+
+    let rsp = resume_stream(&instance, "again", began_by).await;
+
+    assert_eq!(rsp.status(), 503);
+    assert!(fx.runs("again").is_empty());
+}
+
+/// Guards against a stream that goes on at the version that has replaced its own.
+#[tokio::test]
+async fn stream_whose_version_is_gone_is_refused() {
+    let mut fx = fixture(&[("v1", Fault::None)]).await;
+    let instance = fx.start_instance(1).await;
+    drop(start_streams(&instance).await);
+    fx.add("v2", Fault::None).await;
+    fx.store.delete("servers", &fx.servers[0].server.name());
+    let usable = "servers_usable{name=\"engines\"} 1\n";
+    wait_until("the new version is used", || async {
+        let is_served = start_stream(&instance, "new").await.status() == 200;
+        is_served
+            && fx.runs("new").iter().any(|(version, _)| *version == "v2")
+            && instance.metrics().await.contains(usable)
+    })
+    .await;
+
+    let rsp = resume_stream(&instance, "again", Some(&attempt(0))).await;
+
+    assert_eq!(rsp.status(), 503);
+    assert!(fx.runs("again").is_empty());
+}
+
+/// Guards against a stream whose chain of resumptions forgets the version that began it.
+#[tokio::test]
+async fn stream_that_is_taken_up_twice_stays_at_its_version() {
+    let fx = fixture(&[("v1", Fault::None), ("v2", Fault::None), ("v2", Fault::None)]).await;
+    let instance = fx.start_instance(1).await;
+    drop(start_streams(&instance).await);
+
+    for number in 0..STREAMS {
+        let began_by = attempt(number);
+        for id in [format!("second-{number}"), format!("third-{number}")] {
+            let mut rsp = resume_stream(&instance, &id, Some(&began_by)).await;
+            rsp.chunk().await.expect("the stream goes on").expect("it has an event");
+            assert_eq!(fx.runs(&id)[0].0, fx.runs(&began_by)[0].0, "{id}");
+        }
+    }
+}
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod migration;
 mod notices;
+mod origins;
 mod peers;
 mod quarantine;
 mod scaling;
--- a/tests/routing/peers.rs
+++ b/tests/routing/peers.rs
@@ -118,7 +118,7 @@
     for index in 0..count {
         let data_centre = if index % 2 == 0 { "a" } else { "b" };
         let address = "127.0.0.1:9".parse().expect("the address is valid");
-        let member = Member { data_centre: data_centre.into(), address };
+        let member = Member { data_centre: data_centre.into(), address, datagram_port: None };
         members.put(format!("instance-{index}").into(), member);
     }
     members
--- a/tests/routing/support.rs
+++ b/tests/routing/support.rs
@@ -13,6 +13,7 @@
         service: "engines".into(),
         address: address_of(name),
         data_centre: data_centre.into(),
+        version: "v1".into(),
         slots: 64,
         is_draining: false,
         remaining_cold_period: Duration::ZERO,
