Send names outside ASCII, and nothing in place of a name that no header can hold

Callers would see a request run by any server at an address, or for no organisation, and a key outside ASCII refused as unknown. Found by looking for the cause of the names that end a page elsewhere: names that others choose went into headers, and one that the library refuses was left out with a warning.

Change: names are sent as UTF-8, keys are read as such, and a send whose header can't hold a name fails as not sent. Retry-After keeps its warning.

Red before: gateway::names::names_outside_ascii_are_sent_as_they_are. routing::wire:: request_with_a_name_that_no_header_can_hold_is_not_sent can't be built with the function before, which returned nothing. Green after, with all of gateway::names and routing::wire; the older test of write_send_headers checks the new result, too.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -262,8 +262,6 @@
     if !cx.takes_requests(&server.entry) {
         return SendOutcome::NotSent("the backend server takes no more work".to_owned());
     }
-    let run = start_run(cx, request, choice, server);
-    cx.record_send(&request.service, server);
     let head = SendHead {
         server: name,
         organisation: request.organisation_name(),
@@ -272,8 +270,13 @@
         last_event: resume.last_event,
         kv_cache: resume.kv_cache,
     };
-    let result =
-        tokio::time::timeout(timeout, connection.send(build_request(request, &head))).await;
+    let req = match build_request(request, &head) {
+        Ok(req) => req,
+        Err(why) => return SendOutcome::NotSent(why),
+    };
+    let run = start_run(cx, request, choice, server);
+    cx.record_send(&request.service, server);
+    let result = tokio::time::timeout(timeout, connection.send(req)).await;
     match result {
         Ok(Ok(rsp)) => handle_response_head(cx, request, rsp, connection, run),
         Ok(Err(ConnectionError::NotSent(why))) => {
@@ -318,13 +321,16 @@
     }
 }
 
-fn build_request(request: &AdmittedRequest, head: &SendHead<'_>) -> Request<Full<Bytes>> {
+fn build_request(
+    request: &AdmittedRequest,
+    head: &SendHead<'_>,
+) -> Result<Request<Full<Bytes>>, String> {
     let mut req = Request::new(Full::new(request.body.bytes.clone()));
     *req.method_mut() = request.method.clone();
     *req.uri_mut() = request.uri.clone();
     *req.headers_mut() = request.headers.clone();
-    headers::write_send_headers(req.headers_mut(), head);
-    req
+    headers::write_send_headers(req.headers_mut(), head)?;
+    Ok(req)
 }
 
 fn handle_response_head(
--- a/src/gateway/body.rs
+++ b/src/gateway/body.rs
@@ -73,7 +73,10 @@
         let mut rsp = Response::new(full_body(Bytes::new()));
         *rsp.status_mut() = self.status();
         if let Self::NotRun { retry_after_s } = self {
-            headers::set_header(rsp.headers_mut(), RETRY_AFTER, &format!("{retry_after_s:.2}"));
+            let text = format!("{retry_after_s:.2}");
+            if let Err(why) = headers::set_header(rsp.headers_mut(), RETRY_AFTER, &text) {
+                tracing::warn!(why, "refusal without the time to come back");
+            }
         }
         rsp
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -130,7 +130,7 @@
     let number = |text: &str| text.trim().parse::<u64>().ok();
     RequestHead {
         attempt: headers.get(&ATTEMPT_ID).cloned(),
-        api_key: text(&API_KEY).map(str::to_owned),
+        api_key: headers.get(&API_KEY).and_then(text_of).map(str::to_owned),
         timeout: text(&DEADLINE).and_then(parse_millis),
         demand: Demand {
             prompt_tokens: counts.and_then(|(prompt, _)| number(prompt)).unwrap_or_default(),
@@ -144,6 +144,11 @@
     }
 }
 
+/// Returns the text of a header, which may have characters outside ASCII.
+fn text_of(value: &HeaderValue) -> Option<&str> {
+    std::str::from_utf8(value.as_bytes()).ok()
+}
+
 fn parse_millis(text: &str) -> Option<Duration> {
     let ms: f64 = text.trim().parse().ok()?;
     Duration::try_from_secs_f64(ms / 1_000.0).ok()
@@ -170,31 +175,35 @@
 }
 
 /// Sets the headers of one send, in place of any that the caller gave.
-pub fn write_send_headers(headers: &mut HeaderMap, head: &SendHead<'_>) {
-    set_header(headers, EXPECTED_SERVER, head.server.as_str());
-    set_header(headers, DEADLINE, &head.time_left.as_millis().max(1).to_string());
-    set_header(headers, URGENCY, &head.urgency.min(LOWEST_URGENCY).to_string());
+///
+/// # Errors
+/// If a name has characters that no header can hold. Such a request can't be sent: without the name of
+/// the server, any other one at its address would run it.
+pub fn write_send_headers(headers: &mut HeaderMap, head: &SendHead<'_>) -> Result<(), String> {
+    set_header(headers, EXPECTED_SERVER, head.server.as_str())?;
+    set_header(headers, DEADLINE, &head.time_left.as_millis().max(1).to_string())?;
+    set_header(headers, URGENCY, &head.urgency.min(LOWEST_URGENCY).to_string())?;
     if let Some(organisation) = head.organisation {
-        set_header(headers, ORGANISATION, organisation.as_str());
+        set_header(headers, ORGANISATION, organisation.as_str())?;
     }
     if let Some(event) = head.last_event {
-        set_header(headers, LAST_EVENT_ID, &event.to_string());
+        set_header(headers, LAST_EVENT_ID, &event.to_string())?;
     }
     if let Some(kv_cache) = head.kv_cache {
-        set_header(headers, KV_FROM, &kv_cache.to_header());
+        set_header(headers, KV_FROM, &kv_cache.to_header())?;
     }
+    Ok(())
 }
 
-/// Sets a header; a value with characters that are not allowed in headers is logged and omitted.
-pub fn set_header(headers: &mut HeaderMap, name: HeaderName, text: &str) {
-    match HeaderValue::from_str(text) {
-        Ok(value) => {
-            headers.insert(name, value);
-        }
-        Err(error) => {
-            tracing::warn!(%name, text, %error, "header omitted, as its value is invalid")
-        }
-    }
+/// Sets a header; characters outside ASCII are sent as UTF-8.
+///
+/// # Errors
+/// If the text has characters that no header can hold, such as line breaks.
+pub fn set_header(headers: &mut HeaderMap, name: HeaderName, text: &str) -> Result<(), String> {
+    let value = HeaderValue::from_bytes(text.as_bytes())
+        .map_err(|error| format!("header {name} can't hold {text:?}: {error}"))?;
+    headers.insert(name, value);
+    Ok(())
 }
 
 /// Removes hop-by-hop headers, including those that `Connection` lists.
--- a/tests/gateway/names.rs
+++ b/tests/gateway/names.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use hyper::Response;
+use hyper::header::HeaderValue;
 use laburnumvalve::platform::{Collection, ObjectClient, ObjectKind, PlatformError, Store};
 use percent_encoding::percent_decode_str;
 use rstest::rstest;
 use serde_json::{Value, json};
 
 use crate::support::instance::InstanceSettings;
-use crate::support::{Instance, StandInBackend, StandInStore, full, serve, stand_ins};
+use crate::support::{Instance, StandInBackend, StandInStore, config, full, serve, stand_ins};
 
 /// Time within which a list is read or has failed.
 const LIST_TIMEOUT: Duration = Duration::from_secs(5);
@@ -165,3 +166,30 @@
     let segment = asked[0].rsplit('/').next().expect("there is a path");
     assert_eq!(percent_decode_str(segment).decode_utf8().expect("it is text"), name);
 }
+
+/// Guards against requests that are sent without the names of their server and organisation, or whose
+/// key is unknown, because of characters outside ASCII.
+#[tokio::test]
+async fn names_outside_ascii_are_sent_as_they_are() {
+    const SERVER: &str = "runner-\u{e9}";
+    const KEY: &str = "cl\u{e9}";
+    let store = StandInStore::start().await;
+    let mut config = config(1, &[KEY]);
+    config["tenants"][0]["name"] = "\u{e9}quipe".into();
+    store.put("config", "main", config);
+    let server = StandInBackend::start(SERVER).await;
+    store.put("servers", SERVER, server.entry());
+    let cfg = InstanceSettings { store: store.address, ..Default::default() };
+    let instance = Instance::start(cfg).await;
+    let mut req = instance.request("/booking/1", "key").build().expect("it is valid");
+    let key = HeaderValue::from_bytes(KEY.as_bytes()).expect("a header can hold it");
+    req.headers_mut().insert("x-laburnumvalve-key", key);
+
+    let rsp = instance.execute(req).await.expect("there is a response");
+
+    assert_eq!(rsp.status(), 200);
+    let run = &server.runs()[0];
+    let sent = |name: &str| run.headers.get(name).map(|value| value.as_bytes().to_vec());
+    assert_eq!(sent("x-laburnumvalve-expect-instance"), Some(SERVER.as_bytes().to_vec()));
+    assert_eq!(sent("x-laburnumvalve-tenant"), Some("\u{e9}quipe".as_bytes().to_vec()));
+}
--- a/tests/routing/wire.rs
+++ b/tests/routing/wire.rs
@@ -113,7 +113,8 @@
             last_event: Some(4),
             kv_cache: None,
         },
-    );
+    )
+    .expect("headers can hold the names");
 
     assert_eq!(sent["x-laburnumvalve-deadline-ms"], "1234");
     assert_eq!(sent["x-laburnumvalve-expect-instance"], "i-1");
@@ -122,6 +123,30 @@
     assert_eq!(sent["last-event-id"], "4");
 }
 
+/// Guards against a request that any server at the address runs, or that runs for no organisation, as
+/// the header with the name is left out.
+#[rstest]
+#[case::server("i-1\r\nx: y", "timers")]
+#[case::organisation("i-1", "timers\n")]
+fn request_with_a_name_that_no_header_can_hold_is_not_sent(
+    #[case] server: &str,
+    #[case] organisation: &str,
+) {
+    let (server, organisation) = (server.into(), organisation.into());
+    let head = SendHead {
+        server: &server,
+        organisation: Some(&organisation),
+        time_left: Duration::from_secs(1),
+        urgency: 5,
+        last_event: None,
+        kv_cache: None,
+    };
+
+    let written = write_send_headers(&mut HeaderMap::new(), &head);
+
+    assert!(written.is_err());
+}
+
 #[test]
 fn prompt_prefix_header_is_parsed_into_parts() {
     let head = parse_request_headers(&headers(&[
