Escape names in labels of metrics

Operators would get no metrics of an instance once a service or route had a quote, a backslash or a line break in its name.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -146,9 +146,11 @@
             let mut text = String::new();
             for ((counter, label), value) in &values.counters {
                 let (name, key) = counter.name();
+                let label = escape_label(label);
                 let _ = writeln!(text, "laburnumvalve_{name}{{{key}=\"{label}\"}} {value}");
             }
             for ((gauge, label), value) in &values.gauges {
+                let label = escape_label(label);
                 let _ = writeln!(text, "laburnumvalve_{gauge}{{name=\"{label}\"}} {value}");
             }
             for ((metric, label), histogram) in &values.histograms {
@@ -163,6 +165,11 @@
     }
 }
 
+/// Escapes the value of a label, which may be a name that others chose.
+fn escape_label(label: &str) -> String {
+    label.replace('\\', r"\\").replace('"', "\\\"").replace('\n', r"\n")
+}
+
 fn render_summary(
     text: &mut String,
     metric: DurationMetric,
@@ -170,6 +177,7 @@
     histogram: &Histogram<u64>,
 ) {
     let (name, key) = metric.name();
+    let label = escape_label(label);
     for quantile in QUANTILES {
         let seconds = histogram.value_at_quantile(quantile) as f64 / 1e6;
         let _ = writeln!(
