Wait for the datagram address as for the listeners

A reading of the change before: a datagram socket whose address is taken logged a line each second, with an error that can't go away as well, and a receive that fails again and again kept the thread busy. It is bound like the other sockets now: a line at once and each 10 s, and an error that can't go away ends the try with one line. A failed receive is followed by a pause. From reading; no run showed either.

--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -13,7 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 
 use super::body::ResponseBody;
 
@@ -29,17 +29,37 @@
 /// Maximum size of a connection's read buffer, and thereby of a request head.
 const READ_BUFFER_BYTES: usize = 32 << 10;
 
-/// Listens on an address, and waits while that is not available: an earlier process of the instance
-/// may still end, an outgoing connection may have taken the port, or the host may not have the
-/// address yet. `interface` is shown in log lines.
+/// Listens on an address as soon as it is available; `interface` is shown in log lines.
 ///
 /// # Errors
 /// If the address can never be used, such as for lack of permission.
 pub async fn bind(address: SocketAddr, interface: &'static str) -> eyre::Result<TcpListener> {
+    bind_when_available(address, interface, TcpListener::bind).await
+}
+
+/// Receives datagrams at an address as soon as it is available; `interface` is shown in log lines.
+///
+/// # Errors
+/// If the address can never be used, such as for lack of permission.
+pub async fn bind_datagrams(
+    address: SocketAddr,
+    interface: &'static str,
+) -> eyre::Result<UdpSocket> {
+    bind_when_available(address, interface, UdpSocket::bind).await
+}
+
+/// Binds a socket, and waits while its address is not available: an earlier process of the instance
+/// may still end, an outgoing connection may have taken the port, or the host may not have the
+/// address yet.
+async fn bind_when_available<S>(
+    address: SocketAddr,
+    interface: &'static str,
+    bind: impl AsyncFn(SocketAddr) -> std::io::Result<S>,
+) -> eyre::Result<S> {
     let mut logged_at: Option<Instant> = None;
     loop {
-        let error = match TcpListener::bind(address).await {
-            Ok(listener) => return Ok(listener),
+        let error = match bind(address).await {
+            Ok(socket) => return Ok(socket),
             Err(error) => error,
         };
         if !matches!(error.kind(), ErrorKind::AddrInUse | ErrorKind::AddrNotAvailable) {
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -2,8 +2,8 @@
 //! instance.
 //!
 //! Each stream has a few keepers by rendezvous rank, which are told at its first event and asked when
-//! it is taken up. The messages are datagrams: there are several for each stream, and their
-//! order doesn't matter. With some copies, one may get lost.
+//! it is taken up. The messages are datagrams: there are several for each stream, to instances with
+//! which there is rarely a connection, and one of them may get lost.
 
 use std::cell::{OnceCell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -16,6 +16,7 @@
 use tokio::sync::mpsc;
 
 use super::attempt::AdmittedRequest;
+use super::listen;
 use super::peers::wait_for_members;
 use super::shared::InstanceState;
 use crate::clock::BootTime;
@@ -35,8 +36,8 @@
 const MEMBERS_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum size of a message, which has two names of some hundred bytes.
 const MAX_MESSAGE_BYTES: usize = 2 << 10;
-/// Period at which a socket that can't be bound or read is tried again.
-const SOCKET_RETRY_PERIOD: Duration = Duration::from_secs(1);
+/// Delay after a failed receive, such as when the system is out of memory.
+const RECEIVE_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 value! {
     /// A datagram between instances.
@@ -277,13 +278,13 @@
 
 /// Receives messages of other instances until the process exits.
 pub async fn receive(cx: Rc<InstanceState>) {
-    let address = cx.cfg().datagram_address;
-    let socket = loop {
-        match UdpSocket::bind(address).await {
-            Ok(socket) => break socket,
-            Err(error) => tracing::warn!(%address, %error, "address for datagrams not available"),
+    let socket = match listen::bind_datagrams(cx.cfg().datagram_address, "datagrams").await {
+        Ok(socket) => socket,
+        Err(error) => {
+            let error = format!("{error:#}");
+            tracing::error!(error, "origins of streams are not shared with other instances");
+            return;
         }
-        tokio::time::sleep(SOCKET_RETRY_PERIOD).await;
     };
     let socket = cx.origins.socket.get_or_init(|| socket);
     let mut buf = [0; MAX_MESSAGE_BYTES];
@@ -291,9 +292,8 @@
         let (length, from) = match socket.recv_from(&mut buf).await {
             Ok(received) => received,
             Err(error) => {
-                // Such as the refusal of an earlier message.
                 tracing::debug!(%error, "receiving a datagram failed");
-                tokio::task::yield_now().await;
+                tokio::time::sleep(RECEIVE_RETRY_DELAY).await;
                 continue;
             }
         };
