Write the events of a stream before the error that ends it

Callers saw a connection that closed without a response, although the instance had read the head and an event: a server answered a long upload at once and reset the connection.

Cause: the library polls the body before it writes its buffer, and an error of the body closes the connection at once. The reset is noticed by the upload, so the error is there as early as the event. Ruled out: a kept connection that closes as the next request comes, an answer that was not read.

Change: a body waits for one turn before it reports an error, in streams of the gateway and in aborted responses of serve, which have the same cause.

--- a/src/entry/sink.rs
+++ b/src/entry/sink.rs
@@ -190,11 +190,14 @@
     pub fn into_stream(self) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send {
         let Self { events, tail, .. } = self;
         let tail = async move {
-            tail.await.map_err(|_| {
-                std::io::Error::other(
-                    "response truncated: serving task ended without completing it",
-                )
-            })
+            let Ok(tail) = tail.await else {
+                // An error closes the connection at once, so what is still in its buffer, such as the head
+                // and the first event, must be written before.
+                tokio::task::yield_now().await;
+                let why = "response truncated: serving task ended without completing it";
+                return Err(std::io::Error::other(why));
+            };
+            Ok(tail)
         };
         ReceiverStream::new(events).map(Ok).chain(stream::once(tail))
     }
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -121,6 +121,11 @@
     let head = stream::once(async move { Ok(first) });
     let rest = stream::unfold(relay, |mut relay| async move {
         let item = relay.next_events().await?;
+        if item.is_err() {
+            // An error closes the connection at once, so what is still in its buffer, such as the head and
+            // the first event, must be written before.
+            tokio::task::yield_now().await;
+        }
         relay.record_gap();
         Some((item, relay))
     });
--- a/tests/gateway/broken_answers.rs
+++ b/tests/gateway/broken_answers.rs
@@ -162,3 +162,30 @@
         assert_eq!(answer, (200, Ok(plain_body(ATTEMPT_ID))));
     }
 }
+
+/// Number of streams that are reset beside each other, and one after the other. The order of events
+/// that matters is rare.
+const RESETS_AT_ONCE: usize = 4;
+const RESETS_IN_TURN: usize = 60;
+
+/// Guards against a connection that closes without a response, as the reset of the stream is noticed
+/// before its head and first event are written to the caller.
+#[rstest]
+#[case::stream("/stream/1")]
+#[case::resumable_stream("/job/1")]
+#[tokio::test(flavor = "multi_thread")]
+async fn reset_of_a_stream_during_the_upload_gets_a_response(#[case] path: &str) {
+    let server = server_resetting_uploads("id: 1\ndata: a\n\n").await;
+    let instance = instance(&[("raw", server.entry())]).await;
+
+    let callers = (0..RESETS_AT_ONCE).map(|_| async {
+        let mut lost = 0;
+        for _ in 0..RESETS_IN_TURN {
+            let req = instance.request(path, "key").body(vec![b'a'; UPLOAD_BYTES]);
+            lost += usize::from(req.send().await.is_err());
+        }
+        lost
+    });
+
+    assert_eq!(futures::future::join_all(callers).await, [0; RESETS_AT_ONCE]);
+}
