Choose two of the three keepers of a stream in its data centre

Callers mostly take a stream up in the data centre where it began, so two keepers are there and one is anywhere. Who asks asks five, among them the one of the fleet also if the caller came to another data centre.

--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -28,6 +28,10 @@
 
 /// Number of instances that keep the origin of a stream, besides the one that serves it.
 const KEEPERS: usize = 3;
+/// How many of these are in the data centre of the stream's caller, who mostly comes back there.
+const LOCAL_KEEPERS: usize = 2;
+/// Number of instances that are asked, which include a keeper if the caller came to another data centre.
+const ASKED: usize = KEEPERS + LOCAL_KEEPERS;
 /// Times for which answers are awaited before keepers are asked again: the first fits for a region, the
 /// last for distant ones.
 const ANSWER_TIMES: [Duration; 3] =
@@ -148,7 +152,7 @@
         let now = Instant::now();
         self.known.borrow_mut().record(now, stream, origin.clone(), now + keep);
         let message = Message::Began { stream, origin, keep_ms: keep.as_millis() as u64 };
-        for keeper in keepers(cx, stream) {
+        for keeper in keepers(cx, stream, KEEPERS) {
             self.send(cx, &message, keeper);
         }
     }
@@ -189,7 +193,7 @@
         began_within: Duration,
     ) -> Option<Origin> {
         let _ = tokio::time::timeout(MEMBERS_TIMEOUT, wait_for_members(cx)).await;
-        let keepers = keepers(cx, stream);
+        let keepers = keepers(cx, stream, ASKED);
         let number = rand::random();
         let question = Message::Question {
             number,
@@ -259,8 +263,10 @@
     }
 }
 
-fn keepers(cx: &InstanceState, stream: u64) -> Vec<SocketAddr> {
-    cx.members.borrow().datagram_addresses(&cx.cfg().instance, stream, KEEPERS)
+fn keepers(cx: &InstanceState, stream: u64, count: usize) -> Vec<SocketAddr> {
+    let cfg = cx.cfg();
+    let members = cx.members.borrow();
+    members.datagram_addresses(&cfg.instance, &cfg.data_centre, stream, LOCAL_KEEPERS, count)
 }
 
 /// Returns what must have begun a stream of a service: its only version, if this instance is sure
--- a/src/routing/members.rs
+++ b/src/routing/members.rs
@@ -142,26 +142,38 @@
         others().nth((sample * count as f64) as usize)
     }
 
-    /// Returns the addresses for datagrams of the `count` instances with the highest rank for a key,
-    /// apart from `this_instance`.
+    /// Returns the addresses for datagrams of `count` instances that are chosen for a key by rank:
+    /// `local` of the data centre, and the others of the whole fleet. `this_instance` is left out.
+    ///
+    /// All instances of a data centre choose the same ones. Two more than `count` chosen in another
+    /// data centre include the one of the fleet that was chosen here.
     pub fn datagram_addresses(
         &self,
         this_instance: &InstanceName,
+        data_centre: &DataCentreName,
         key: u64,
+        local: usize,
         count: usize,
     ) -> Vec<SocketAddr> {
-        let mut reachable: Vec<_> = self
+        let mut ranked: Vec<_> = self
             .all
             .iter()
-            .filter_map(|(name, member)| Some((name, member.datagram_address()?)))
-            .map(|(name, address)| (Reverse(rendezvous_weight(name.as_str(), key)), name, address))
+            .filter_map(|(name, member)| Some((name, member, member.datagram_address()?)))
+            .map(|(name, member, address)| {
+                (Reverse(rendezvous_weight(name.as_str(), key)), name, member, address)
+            })
             .collect();
-        let count = count.min(reachable.len());
-        if count < reachable.len() {
-            reachable.select_nth_unstable(count);
+        ranked.sort_unstable_by_key(|(weight, name, ..)| (*weight, *name));
+        let is_local = |member: &Member| member.data_centre == *data_centre;
+        let nearest = ranked.iter().filter(|(.., member, _)| is_local(member)).take(local);
+        let mut chosen: Vec<_> = nearest.map(|(_, name, _, address)| (*name, *address)).collect();
+        for (_, name, _, address) in ranked {
+            if chosen.len() < count && chosen.iter().all(|(other, _)| *other != name) {
+                chosen.push((name, address));
+            }
         }
-        let first = reachable.into_iter().take(count);
-        first.filter(|(_, name, _)| *name != this_instance).map(|(.., address)| address).collect()
+        chosen.retain(|(name, _)| *name != this_instance);
+        chosen.into_iter().map(|(_, address)| address).collect()
     }
 
     fn is_skipped(&self, now: Instant, name: &InstanceName) -> bool {
