Split the search for a stream's origin from admission

admit had grown by the lookup of what began a stream; it is a function of its own now. The test of split routes was missing: a stream goes on at the service that began it.

--- a/src/gateway/handle.rs
+++ b/src/gateway/handle.rs
@@ -2,6 +2,7 @@
 
 use std::cell::OnceCell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,8 +17,9 @@
 use super::relay;
 use super::shared::InstanceState;
 use crate::metrics::Counter;
+use crate::names::SoftwareVersion;
 use crate::platform::headers;
-use crate::routing::catalog::{Catalog, Organisation, RequestKind, Route};
+use crate::routing::catalog::{Catalog, Organisation, RequestKind, Route, Service};
 use crate::routing::load::Verdict;
 use crate::routing::tried::SendHistory;
 
@@ -102,28 +104,15 @@
     })?;
     head.demand.body_bytes = body.bytes.len();
     let service = route.pick_service(rand::random()).and_then(|name| catalog.service(name));
-    let Some(mut service) = service.cloned() else {
+    let Some(service) = service.cloned() else {
         record.set_reason("the configuration defines no service for the route");
         return Err(REFUSED_NOT_RUN);
     };
-    let version = OnceCell::new();
-    if head.is_resumption && route.request_kind.is_stream() {
-        let began_by = head.resumed_attempt.as_ref();
-        let (origin, known_by) = cx.origins.find(cx, &route, &service.name, began_by).await;
-        record.stream_taken_up(began_by, origin.as_ref(), known_by);
-        let Some(origin) = origin else {
-            record.set_reason("it isn't known which software version began the stream");
-            return Err(REFUSED_NOT_RUN);
-        };
-        if route.leads_to(&origin.service)
-            && let Some(began_by) = catalog.service(&origin.service)
-        {
-            service = began_by.clone();
-        }
-        if service.name == origin.service {
-            let _ = version.set(origin.version);
-        }
-    }
+    let (service, version) = if head.is_resumption && route.request_kind.is_stream() {
+        find_origin(cx, &catalog, &route, service, &head, record).await?
+    } else {
+        (service, None)
+    };
     let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).min(route.timeout);
     let deadline = received_at + timeout;
     if !cx.admits(deadline) {
@@ -144,12 +133,38 @@
         received_at,
         deadline,
         usage_counted: false.into(),
-        version,
+        version: version.map_or_else(OnceCell::new, OnceCell::from),
         head,
         route,
     })
 }
 
+/// Returns the service at which a stream that the caller takes up goes on, and the software version that it
+/// needs: those that began it. If the route no longer leads to that service, `service` goes on with it.
+///
+/// # Errors
+/// If it isn't known what began the stream.
+async fn find_origin(
+    cx: &InstanceState,
+    catalog: &Catalog,
+    route: &Route,
+    service: Arc<Service>,
+    head: &headers::RequestHead,
+    record: &RequestRecord,
+) -> Result<(Arc<Service>, Option<SoftwareVersion>), Refusal> {
+    let began_by = head.resumed_attempt.as_ref();
+    let (origin, known_by) = cx.origins.find(cx, route, &service.name, began_by).await;
+    record.stream_taken_up(began_by, origin.as_ref(), known_by);
+    let Some(origin) = origin else {
+        record.set_reason("it isn't known which software version began the stream");
+        return Err(REFUSED_NOT_RUN);
+    };
+    match catalog.service(&origin.service) {
+        Some(first) if route.leads_to(&first.name) => Ok((first.clone(), Some(origin.version))),
+        _ => Ok((service, None)),
+    }
+}
+
 /// Waits for the state that routing needs after the start of the process, so that a request which
 /// arrives a moment earlier is not refused.
 async fn wait_until_routable(cx: &InstanceState, timeout: Duration) {
@@ -162,7 +177,7 @@
     let _ = tokio::time::timeout(wait, received).await;
 }
 
-fn find_route(catalog: &Catalog, req: &Request<Incoming>) -> Option<std::sync::Arc<Route>> {
+fn find_route(catalog: &Catalog, req: &Request<Incoming>) -> Option<Arc<Route>> {
     let host = req.headers().get("host").and_then(|host| host.to_str().ok());
     let host = host.or_else(|| req.uri().host()).unwrap_or_default();
     catalog.route(host, req.uri().path()).cloned()
@@ -176,7 +191,7 @@
     route: &Route,
     key: Option<&str>,
     record: &RequestRecord,
-) -> Result<Option<std::sync::Arc<Organisation>>, Refusal> {
+) -> Result<Option<Arc<Organisation>>, Refusal> {
     if route.is_public || !catalog.needs_keys() {
         return Ok(None);
     }
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use rstest::rstest;
+use serde_json::json;
 
 use crate::support::instance::InstanceSettings;
 use crate::support::runner::full_stream;
@@ -251,3 +252,36 @@
         }
     }
 }
+
+/// Guards against a stream with events of two services, where a route is split between them.
+#[tokio::test]
+async fn stream_of_a_split_route_goes_on_at_its_service() {
+    let mut fx = fixture(&[("v1", Fault::None)]).await;
+    let mut config = config(2, &["key"]);
+    let other = json!({"name": "others", "health-path": "/healthz", "max-connections": 100});
+    config["services"].as_array_mut().expect("there are services").push(other);
+    for route in config["routes"].as_array_mut().expect("there are routes") {
+        let share = |service: &str| json!({"service": service, "weight": 50});
+        route["traffic-split"] = json!([share("engines"), share("others")]);
+    }
+    fx.store.put("config", "main", config);
+    // The version tells the service here.
+    fx.add("of-others", Fault::None).await;
+    let mut entry = fx.servers[1].server.entry();
+    entry["service"] = "others".into();
+    entry["version"] = "v1".into();
+    fx.store.put("servers", &fx.servers[1].server.name(), entry);
+    let instance = fx.start_instance(1).await;
+    drop(start_streams(&instance).await);
+
+    let mut services: HashMap<&str, usize> = HashMap::new();
+    for number in 0..STREAMS {
+        let (id, began_by) = (format!("again-{number}"), attempt(number));
+        let rsp = resume_stream(&instance, &id, Some(&began_by)).await;
+        assert_eq!(rsp.status(), 200, "{id}");
+        let began = fx.runs(&began_by);
+        assert_eq!(fx.runs(&id), [(began[0].0, Some(2))], "{id} after {began:?}");
+        *services.entry(began[0].0).or_default() += 1;
+    }
+    assert_eq!(services.len(), 2, "all streams began at one service: {services:?}");
+}
