Store what began streams while software versions differ

Cause: what began a stream is kept by its instance and three others in memory. With a share f of the instances about f^4 of the streams are lost, over one half from f = 0.84 on, and the loss of any number is to be borne.

Ruled out: lost datagrams (all asked instances were dead), an incomplete list of members (the streams that the ninth keeps went on), more keepers (none bears the loss of all), a write by each instance for itself (four times the calls to the platform, or streams of a second are missed), writes while there is one version (needless).

Change: one of sixteen instances of a data centre, the writer, is one of the two local keepers of a stream and stores what began it while versions differ, at most each 250 ms, in 16 parts of a process (routing/origin_log.rs, gateway/origin_store.rs). What no keeper knows is looked up there, with one read for all that ask. Old parts are deleted.

Before: versions::stream_that_is_taken_up_goes_on_at_its_version::case_4_last and both cases of streams_are_stored_again_when_they_must_be fail on the program before.

Open: streams of the last 0.25 s before the loss, split routes whose services have one version each, and all instances killed while there is one version.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod ingress;
 pub mod links;
 pub mod listen;
+pub mod origin_store;
 pub mod origins;
 pub mod peers;
 pub mod pulls;
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -2,8 +2,9 @@
 //! instance.
 //!
 //! Each stream has a few keepers by rendezvous rank, which are told at its first event and asked when
-//! it is taken up. The messages are datagrams: there are several for each stream, to instances with
-//! which there is rarely a connection, and one of them may get lost.
+//! it is taken up. One of them also stores it (see [`super::origin_store`]). The messages are datagrams: there are several for each stream, to instances with
+//! which there is rarely a connection, and one of them may get lost. What no keeper knows, as they were
+//! all lost with the stream, is looked up in the store.
 
 use std::cell::{OnceCell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -13,17 +14,20 @@
 
 use hyper::header::HeaderValue;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use super::attempt::AdmittedRequest;
 use super::listen;
+use super::origin_store::StoredOriginsReader;
 use super::peers::wait_for_members;
 use super::shared::InstanceState;
 use crate::clock::BootTime;
 use crate::metrics::Counter;
 use crate::names::SoftwareVersion;
+use crate::platform::Store;
 use crate::routing::catalog::{Route, ServiceName};
 use crate::routing::direct_reads::MAX_PROOF_AGE;
+use crate::routing::origin_log::OriginLog;
 use crate::routing::origins::{Origin, Origins, TAKE_UP_TIME, stream_key};
 
 /// Number of instances that keep the origin of a stream, besides the one that serves it.
@@ -55,6 +59,9 @@
             origin: Origin,
             /// Time for which the receiver keeps this, in ms.
             keep_ms: u64,
+            /// Whether the receiver is the one that stores this.
+            #[serde(default)]
+            is_to_store: bool,
         },
         /// Asks what began a stream.
         Question {
@@ -86,6 +93,8 @@
     Peer,
     /// The service has had no other software version since the stream can have begun.
     OnlyVersion,
+    /// A process had stored it, which may be gone.
+    Store,
     /// It isn't known.
     Nobody,
 }
@@ -97,6 +106,7 @@
             Self::Own => "own",
             Self::Peer => "peer",
             Self::OnlyVersion => "only-version",
+            Self::Store => "store",
             Self::Nobody => "nobody",
         }
     }
@@ -109,6 +119,11 @@
 #[derive(Default)]
 pub struct SharedOrigins {
     known: RefCell<Origins>,
+    /// Streams that this instance stores for others of its data centre while versions differ.
+    pub(super) log: RefCell<OriginLog>,
+    /// Notified when a stream was added to the log.
+    pub(super) log_changed: Notify,
+    stored: StoredOriginsReader,
     socket: OnceCell<UdpSocket>,
     questions: RefCell<HashMap<u64, AnswerSender>>,
 }
@@ -151,12 +166,31 @@
         let keep = request.time_left() + TAKE_UP_TIME;
         let now = Instant::now();
         self.known.borrow_mut().record(now, stream, origin.clone(), now + keep);
-        let message = Message::Began { stream, origin, keep_ms: keep.as_millis() as u64 };
+        let writer = {
+            let cfg = cx.cfg();
+            let members = cx.members.borrow();
+            let writer = members.writer(&cfg.data_centre, stream);
+            if writer.is_some_and(|(name, _)| *name == cfg.instance) {
+                self.add_to_log(now, stream, origin.clone(), now + keep);
+            }
+            writer.map(|(_, address)| address)
+        };
         for keeper in keepers(cx, stream, KEEPERS) {
+            let message = Message::Began {
+                stream,
+                origin: origin.clone(),
+                keep_ms: keep.as_millis() as u64,
+                is_to_store: writer == Some(keeper),
+            };
             self.send(cx, &message, keeper);
         }
     }
 
+    fn add_to_log(&self, now: Instant, stream: u64, origin: Origin, until: Instant) {
+        self.log.borrow_mut().record(now, stream, origin, until);
+        self.log_changed.notify_one();
+    }
+
     /// Finds what began the stream that a caller takes up, which goes on at `service` if nothing else
     /// is known.
     pub async fn find(
@@ -178,10 +212,20 @@
                 return (answer, KnownBy::Peer);
             }
         }
-        match only_origin(cx, service, began_within) {
-            Some(only) => (Some(only), KnownBy::OnlyVersion),
-            None => (None, KnownBy::Nobody),
+        if let Some(only) = only_origin(cx, service, began_within) {
+            return (Some(only), KnownBy::OnlyVersion);
         }
+        let stored = match began_by {
+            Some(id) => self.stored.find(cx, stream_key(id.as_bytes())).await,
+            None => None,
+        };
+        let known_by = if stored.is_some() { KnownBy::Store } else { KnownBy::Nobody };
+        (stored, known_by)
+    }
+
+    /// Sets the store in which streams are looked up that nobody else knows.
+    pub fn set_store(&self, store: Store) {
+        self.stored.set_store(store);
     }
 
     /// Asks the keepers of a stream what began it; `None` if nobody who answers in time knows.
@@ -243,9 +287,12 @@
     fn handle(&self, cx: &InstanceState, message: Message, from: SocketAddr) {
         let now = Instant::now();
         match message {
-            Message::Began { stream, origin, keep_ms } => {
+            Message::Began { stream, origin, keep_ms, is_to_store } => {
                 let until = now.checked_add(Duration::from_millis(keep_ms)).unwrap_or(now);
-                self.known.borrow_mut().record(now, stream, origin, until);
+                self.known.borrow_mut().record(now, stream, origin.clone(), until);
+                if is_to_store {
+                    self.add_to_log(now, stream, origin, until);
+                }
             }
             Message::Question { number, stream, service, began_within_ms } => {
                 let known = self.known.borrow().get(stream).cloned();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,7 +12,10 @@
 use super::ingress::{self, ACCEPT_GRACE};
 use super::settings::GatewaySettings;
 use super::shared::{InstanceState, ShutdownTimes};
-use super::{evidence, listen, origins, peers, pulls, roster, scaling, state, status, sync, usage};
+use super::{
+    evidence, listen, origin_store, origins, peers, pulls, roster, scaling, state, status, sync,
+    usage,
+};
 use crate::clock::{BootTime, wall_millis};
 use crate::platform::duties::DutyClient;
 use crate::platform::settings::parse;
@@ -124,6 +127,8 @@
     tokio::task::spawn_local(peers::sync_from_peers(cx.clone(), client.clone()));
     tokio::task::spawn_local(evidence::exchange(cx.clone(), client.clone(), timer.clone()));
     tokio::task::spawn_local(origins::receive(cx.clone()));
+    cx.origins.set_store(store.clone());
+    tokio::task::spawn_local(origin_store::write(cx.clone(), store.clone(), timer.clone()));
     let duty_lease = Rc::new(DutyLease::default());
     let lease_task =
         tokio::task::spawn_local(duty::maintain(cx.clone(), store.clone(), duty_lease.clone()));
@@ -136,6 +141,9 @@
         timer.clone(),
     );
     tokio::task::spawn_local(cleanup);
+    let old_origins =
+        origin_store::remove_old(cx.clone(), store.clone(), duty_lease.clone(), timer.clone());
+    tokio::task::spawn_local(old_origins);
     tokio::task::spawn_local(usage::publish(cx.clone(), store.clone(), timer.clone()));
     if let Some(address) = cx.cfg().duties_address {
         let duties = DutyClient::new(address)?;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,7 +35,7 @@
         Collection::Servers => apply_servers(cx, update),
         Collection::DataCentresOut => apply_data_centres_out(cx),
         Collection::Instances => apply_instances(cx, update),
-        Collection::Leases | Collection::Tallies | Collection::Seals => {}
+        Collection::Leases | Collection::Tallies | Collection::Seals | Collection::Origins => {}
     }
     if update.is_snapshot || !update.items.is_empty() {
         cx.changes.send_modify(|count| *count += 1);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -50,6 +50,8 @@
         Tallies,
         /// Counts of ended usage windows, finalised before they are reported.
         Seals,
+        /// What began the streams of each process, while a service has several software versions.
+        Origins,
     }
 }
 
@@ -64,6 +66,7 @@
             Self::Leases => "leases",
             Self::Tallies => "tallies",
             Self::Seals => "seals",
+            Self::Origins => "origins",
         }
     }
 
@@ -76,6 +79,7 @@
             Self::Leases => "valve-leases",
             Self::Tallies => "valve-tallies",
             Self::Seals => "valve-seals",
+            Self::Origins => "valve-origins",
         }
     }
 }
--- a/src/routing/fleet.rs
+++ b/src/routing/fleet.rs
@@ -357,6 +357,16 @@
         versions.all(|other| other == version).then_some(version)
     }
 
+    /// Returns whether a service has, or had lately, several software versions.
+    pub fn has_several_versions(&self) -> bool {
+        let current = self.servers.values().map(|server| &server.entry);
+        let current = current.map(|entry| (&entry.service, &entry.version));
+        let former = self.former_versions.keys().map(|(service, version)| (service, version));
+        let mut versions = HashMap::new();
+        let mut all = current.chain(former);
+        all.any(|(service, version)| *versions.entry(service).or_insert(version) != version)
+    }
+
     fn record_former_version(&mut self, now: Instant, former: &Registration) {
         let key = (former.service.clone(), former.version.clone());
         self.former_versions.insert(key, now);
--- a/src/routing/members.rs
+++ b/src/routing/members.rs
@@ -42,6 +42,10 @@
 
 /// Rendezvous key of the tree.
 const TREE_KEY: u64 = 0;
+/// Rendezvous key of the instances that store what began streams.
+const WRITERS_KEY: u64 = 1;
+/// Number of instances of a data centre for each of these, so that its messages don't grow with the fleet.
+const INSTANCES_PER_WRITER: usize = 16;
 
 /// All registered instances.
 #[derive(Debug, Default)]
@@ -142,8 +146,27 @@
         others().nth((sample * count as f64) as usize)
     }
 
-    /// Returns the addresses for datagrams of `count` instances that are chosen for a key by rank:
-    /// `local` of the data centre, and the others of the whole fleet. `this_instance` is left out.
+    /// Returns the instance of a data centre that stores what began a stream, with its address for
+    /// datagrams.
+    pub fn writer(
+        &self,
+        data_centre: &DataCentreName,
+        stream: u64,
+    ) -> Option<(&InstanceName, SocketAddr)> {
+        let local = self.all.iter().filter(|(_, member)| member.data_centre == *data_centre);
+        let mut ranked: Vec<_> = local
+            .filter_map(|(name, member)| Some((name, member.datagram_address()?)))
+            .map(|(name, address)| (rendezvous_weight(name.as_str(), WRITERS_KEY), name, address))
+            .collect();
+        ranked.sort_unstable_by_key(|(weight, name, _)| (Reverse(*weight), *name));
+        let writers = ranked.len().div_ceil(INSTANCES_PER_WRITER);
+        let (_, name, address) = ranked.get((stream % writers.max(1) as u64) as usize)?;
+        Some((name, *address))
+    }
+
+    /// Returns the addresses for datagrams of `count` instances that keep what began a stream: `local` of
+    /// the data centre, its writer first, and the others of the whole fleet. All but the writer are chosen
+    /// by rank. `this_instance` is left out.
     ///
     /// All instances of a data centre choose the same ones. Two more than `count` chosen in another
     /// data centre include the one of the fleet that was chosen here.
@@ -151,7 +174,7 @@
         &self,
         this_instance: &InstanceName,
         data_centre: &DataCentreName,
-        key: u64,
+        stream: u64,
         local: usize,
         count: usize,
     ) -> Vec<SocketAddr> {
@@ -160,13 +183,17 @@
             .iter()
             .filter_map(|(name, member)| Some((name, member, member.datagram_address()?)))
             .map(|(name, member, address)| {
-                (Reverse(rendezvous_weight(name.as_str(), key)), name, member, address)
+                (Reverse(rendezvous_weight(name.as_str(), stream)), name, member, address)
             })
             .collect();
         ranked.sort_unstable_by_key(|(weight, name, ..)| (*weight, *name));
         let is_local = |member: &Member| member.data_centre == *data_centre;
-        let nearest = ranked.iter().filter(|(.., member, _)| is_local(member)).take(local);
-        let mut chosen: Vec<_> = nearest.map(|(_, name, _, address)| (*name, *address)).collect();
+        let writer = self.writer(data_centre, stream);
+        let is_writer = |name: &InstanceName| writer.is_some_and(|(writer, _)| writer == name);
+        let others =
+            ranked.iter().filter(|(_, name, member, _)| is_local(member) && !is_writer(name));
+        let others = others.map(|(_, name, _, address)| (*name, *address));
+        let mut chosen: Vec<_> = writer.into_iter().chain(others).take(local).collect();
         for (_, name, _, address) in ranked {
             if chosen.len() < count && chosen.iter().all(|(other, _)| *other != name) {
                 chosen.push((name, address));
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -14,6 +14,7 @@
 pub mod mirror;
 pub mod mix;
 pub mod notices;
+pub mod origin_log;
 pub mod origins;
 pub mod proof;
 pub mod quarantine;
--- a/tests/gateway/support/store.rs
+++ b/tests/gateway/support/store.rs
@@ -177,6 +177,13 @@
         self.lock().objects.contains_key(&(kind.to_owned(), name.to_owned()))
     }
 
+    /// Returns the names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.lock();
+        let of_kind = state.objects.keys().filter(|(of, _)| of == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
     /// Deletes an object.
     pub fn delete(&self, kind: &str, name: &str) {
         self.change(kind, name, |_| Ok(None)).expect("the change has no condition");
--- a/tests/gateway/versions.rs
+++ b/tests/gateway/versions.rs
@@ -1,6 +1,7 @@
 //! Streams of services whose backend servers run several versions of their software.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use rstest::rstest;
 use serde_json::json;
@@ -157,19 +158,26 @@
     Other,
     /// It started later, and asks.
     Later,
+    /// It started after all others were killed.
+    Last,
 }
 
+/// Time within which the origins of streams are stored: two periods and a call.
+const STORE_TIME: Duration = Duration::from_millis(1_300);
+
 /// Guards against a stream with events of two software versions: a caller that takes a stream up again,
-/// at the same instance or another one, also after the one that served it was killed.
+/// at the same instance or another one, also after the one that served it was killed. The last case guards
+/// against streams that are lost with all instances that knew them.
 #[rstest]
 #[case::same(Taker::Same)]
 #[case::other(Taker::Other)]
 #[case::later(Taker::Later)]
+#[case::last(Taker::Last)]
 #[tokio::test]
 async fn stream_that_is_taken_up_goes_on_at_its_version(#[case] taker: Taker) {
     let fx = fixture(&[("v1", Fault::None), ("v2", Fault::None), ("v2", Fault::None)]).await;
     let mut first = fx.start_instance(1).await;
-    let second = fx.start_instance(2).await;
+    let mut second = fx.start_instance(2).await;
     let known = "instances_listed{name=\"instance\"} 2\n";
     wait_until("the first one knows both", || async { first.metrics().await.contains(known) })
         .await;
@@ -188,6 +196,13 @@
             third = fx.start_instance(3).await;
             &third
         }
+        Taker::Last => {
+            tokio::time::sleep(STORE_TIME).await;
+            first.kill();
+            second.kill();
+            third = fx.start_instance(3).await;
+            &third
+        }
     };
 
     let mut versions: HashMap<&str, usize> = HashMap::new();
@@ -290,3 +305,48 @@
     }
     assert_eq!(services.len(), 2, "all streams began at one service: {services:?}");
 }
+
+/// Guards against calls to the store for each stream of a service that has one version.
+#[tokio::test]
+async fn streams_of_the_only_version_are_not_stored() {
+    let fx = fixture(&[("v1", Fault::None), ("v1", Fault::None)]).await;
+    let instance = fx.start_instance(1).await;
+
+    drop(start_streams(&instance).await);
+    tokio::time::sleep(STORE_TIME).await;
+
+    assert_eq!(fx.store.names("valve-origins"), Vec::<String>::new());
+}
+
+/// Guards against streams that are lost though they were stored, as the store came back from a copy, or the
+/// second version came after they had begun.
+#[rstest]
+#[case::store_came_back_from_a_copy(true)]
+#[case::second_version_came_later(false)]
+#[tokio::test]
+async fn streams_are_stored_again_when_they_must_be(#[case] is_store_back: bool) {
+    let versions = if is_store_back { ["v1", "v2"] } else { ["v1", "v1"] };
+    let mut fx = fixture(&versions.map(|version| (version, Fault::None))).await;
+    fx.store.state_era();
+    let mut first = fx.start_instance(1).await;
+    let copy = fx.store.copy();
+    drop(start_streams(&first).await);
+    tokio::time::sleep(STORE_TIME).await;
+
+    if is_store_back {
+        fx.store.return_from(&copy);
+    } else {
+        fx.add("v2", Fault::None).await;
+    }
+    wait_until("the streams are stored", || async { !fx.store.names("valve-origins").is_empty() })
+        .await;
+    first.kill();
+    let second = fx.start_instance(2).await;
+
+    for number in 0..STREAMS {
+        let (id, began_by) = (format!("again-{number}"), attempt(number));
+        let rsp = resume_stream(&second, &id, Some(&began_by)).await;
+        assert_eq!(rsp.status(), 200, "{id}");
+        assert_eq!(fx.runs(&id)[0].0, fx.runs(&began_by)[0].0, "{id}");
+    }
+}
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod migration;
 mod notices;
+mod origin_log;
 mod origins;
 mod peers;
 mod quarantine;
