Find prompt parts that crash servers after the first event

Cause: the first event was taken for proof that the parts of the prompt are sound, and a connection that ended after it was not looked at for a crash. Resumption asked no quarantine.

Change: an answer is proof when it is complete or goes on 0.5 s after its first event; a connection that ends before is looked at for a crash. Parts answered here in the last 2 s are not blamed (routing/sound_parts.rs). A stream is not resumed with a quarantined part, nor with a suspected one if a server may have crashed under it.

Before: quarantine::prompt_part_that_crashes_engines_after_the_first_event_is_no_longer_sent fails on the program before (40 arrivals, 12 may).

Conclusion: fixed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -36,6 +36,10 @@
 /// idle timeout of the connection is shorter.
 const MAX_IDLE_AGE_RETRYABLE: Duration = Duration::from_secs(3_600);
 
+/// Time after the first event of an answer in which a crash may be due to the prompt. A prompt that
+/// crashes servers does so when they begin to answer; the time allows for two events and their delivery.
+const ANSWER_BEGINNING: Duration = Duration::from_millis(500);
+
 /// A request that was read completely and passed all admission checks.
 pub struct AdmittedRequest {
     /// Parsed headers.
@@ -123,8 +127,10 @@
     request: Rc<AdmittedRequest>,
     connection: Option<Connection>,
     prefill_tokens: Cell<u64>,
-    /// Whether the answer has begun.
-    is_answered: Cell<bool>,
+    /// When the first event or body of the answer was received.
+    answer_began_at: Cell<Option<Instant>>,
+    /// Whether the answer has shown that the prompt doesn't crash the backend server.
+    is_prompt_sound: Cell<bool>,
     /// Start of the process that the request was sent to, as registered.
     started_at_ms: Option<u64>,
     /// Version of the software of that process.
@@ -153,18 +159,27 @@
         self.cx.origins.record_start(&self.cx, &self.request, version);
     }
 
-    /// Records that a part of the answer was received, which shows that the prompt doesn't crash
-    /// the backend server.
-    pub fn mark_answered(&self) {
-        if !self.is_answered.replace(true) {
-            self.cx.evidence.record_answer(&self.request);
+    /// Records that events of the answer were received. The first ones don't show that the prompt is
+    /// sound, as a server may crash just after it has begun to answer.
+    pub fn record_events(&self) {
+        let now = Instant::now();
+        let began_at = self.answer_began_at.get().unwrap_or(now);
+        self.answer_began_at.set(Some(began_at));
+        if now.duration_since(began_at) >= ANSWER_BEGINNING {
+            self.clear_prompt();
+        }
+    }
+
+    fn clear_prompt(&self) {
+        if !self.is_prompt_sound.replace(true) {
+            self.cx.evidence.record_sound_answer(&self.request);
         }
     }
 
     /// Ends the run after the complete response was read and returns the connection to the pool.
     pub fn finish(mut self, verdict: Verdict) {
         if verdict == Verdict::Success {
-            self.mark_answered();
+            self.clear_prompt();
         }
         self.cx.record_verdict(&self.request.service, &self.server, verdict);
         if let Some(connection) = self.connection.take() {
@@ -184,13 +199,16 @@
     }
 
     /// Ends the run after its connection ended, and finds out whether the backend server crashed
-    /// before it answered.
-    pub async fn fail_disconnected(self) {
+    /// before it answered, or at the beginning of its answer. Returns whether it did.
+    pub async fn fail_disconnected(self) -> bool {
         self.cx.record_verdict(&self.request.service, &self.server, Verdict::TransportFailure);
-        if !self.is_answered.get() {
-            let process = ServerProcess::of(&self.server, self.started_at_ms);
-            evidence::record_if_crashed(&self.cx, &self.request, &process, self.address).await;
+        let began_at = self.answer_began_at.get();
+        let is_beginning = began_at.is_none_or(|began_at| began_at.elapsed() < ANSWER_BEGINNING);
+        if self.is_prompt_sound.get() || !is_beginning {
+            return false;
         }
+        let process = ServerProcess::of(&self.server, self.started_at_ms);
+        evidence::record_if_crashed(&self.cx, &self.request, &process, self.address).await
     }
 
     /// Records what the backend server says about itself in its response.
@@ -313,7 +331,8 @@
         request: request.clone(),
         connection: None,
         prefill_tokens: Cell::new(choice.prefill_tokens),
-        is_answered: Cell::new(false),
+        answer_began_at: Cell::default(),
+        is_prompt_sound: Cell::default(),
         started_at_ms: server.entry.started_at_ms,
         version: server.entry.version.clone(),
         server: choice.server.clone(),
--- a/src/gateway/evidence.rs
+++ b/src/gateway/evidence.rs
@@ -2,7 +2,8 @@
 //!
 //! Needs no store, so that it works during its outages: news is pushed to random instances at
 //! once, and each of these pushes on what it did not know. What got lost on the way is found by
-//! comparing hashes with a random instance now and then.
+//! comparing hashes with a random instance now and then. Crashes of many servers make much news that
+//! convicts nothing, so each instance sends the most telling first, and few bytes a second.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -13,6 +14,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
 use hyper::{Request, Response};
 use tokio::sync::Notify;
 
@@ -24,12 +26,14 @@
 use crate::metrics::Counter;
 use crate::names::InstanceName;
 use crate::platform::http;
+use crate::routing::byte_budget::ByteBudget;
 use crate::routing::choose::PromptPart;
 use crate::routing::members::Member;
 use crate::routing::quarantine::{
     CrashEvidence, CrashKey, CrashReport, ServerProcess, Standing, Trial, may_try,
 };
 use crate::routing::rank::rank;
+use crate::routing::sound_parts::SoundParts;
 use crate::timer::Timer;
 
 /// Path of the endpoint.
@@ -50,7 +54,12 @@
 const QUIET_COMPARE_PERIOD: Duration = Duration::from_secs(10);
 /// Timeout of a message to another instance.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Maximum size of a message: above that of the most evidence which an instance keeps.
+/// Maximum number of reports that are pushed at once, of some 100 bytes each. Few, so that the most telling
+/// ones don't wait for the others.
+const MAX_PUSHED_REPORTS: usize = 16;
+/// Maximum number of reports in the response to a message.
+const MAX_COMPARED_REPORTS: usize = 64;
+/// Maximum size of a message: instances of earlier versions send all their evidence.
 const MAX_MESSAGE_BYTES: usize = 1 << 20;
 /// Time after which a trial that has shown nothing may be followed by another one.
 const TRIAL_TIME: Duration = Duration::from_secs(5);
@@ -74,7 +83,11 @@
 #[derive(Default)]
 pub struct SharedEvidence {
     evidence: RefCell<CrashEvidence>,
+    /// Parts that servers have answered here lately.
+    sound: RefCell<SoundParts>,
     news: RefCell<BTreeSet<CrashKey>>,
+    /// Bytes of evidence that this instance may send.
+    budget: RefCell<ByteBudget>,
     has_news: Notify,
     /// When this instance last started a trial of a convicted part.
     trial_started_at: Cell<Option<Instant>>,
@@ -121,17 +134,20 @@
         starts
     }
 
-    /// Clears the parts of a request that a server answers.
-    pub fn record_answer(&self, request: &AdmittedRequest) {
+    /// Clears the parts of a request whose answer has shown that they are sound.
+    pub fn record_sound_answer(&self, request: &AdmittedRequest) {
+        self.sound.borrow_mut().record(BootTime::now(), parts(request));
         if self.evidence.borrow().is_empty() {
             return;
         }
         self.update(|evidence, _| evidence.clear(parts(request)));
     }
 
-    /// Records that a server crashed before it answered a request.
+    /// Records that a server crashed when it began to answer a request. Parts that were answered a
+    /// moment ago are not to blame.
     fn record_crash(&self, request: &AdmittedRequest, process: &ServerProcess) {
-        self.update(|evidence, now| evidence.record_crash(now, parts(request), process));
+        let blamed = self.sound.borrow_mut().without_sound(BootTime::now(), parts(request));
+        self.update(|evidence, now| evidence.record_crash(now, &blamed, process));
     }
 
     /// Returns the numbers of parts with evidence and of convicted parts.
@@ -148,6 +164,18 @@
         });
     }
 
+    /// Returns the most telling news, and leaves the rest for the next round.
+    fn take_news(&self) -> Vec<CrashReport> {
+        let evidence = self.evidence.borrow();
+        let mut news = self.news.borrow_mut();
+        let chosen = evidence.most_telling(&news, MAX_PUSHED_REPORTS);
+        news.retain(|key| !chosen.contains(key) && evidence.is_worth_telling(key));
+        if !news.is_empty() {
+            self.has_news.notify_one();
+        }
+        evidence.reports_of(BootTime::now(), &chosen)
+    }
+
     /// Changes the evidence, logs which parts are convicted or released by that, and keeps the
     /// news to be pushed.
     fn update(&self, change: impl FnOnce(&mut CrashEvidence, BootTime) -> Vec<CrashKey>) {
@@ -180,14 +208,15 @@
 }
 
 /// Records evidence if the server of a lost request has crashed: its address refuses connections.
+/// Returns whether it has.
 pub async fn record_if_crashed(
     cx: &InstanceState,
     request: &AdmittedRequest,
     process: &ServerProcess,
     address: SocketAddr,
-) {
+) -> bool {
     if parts(request).is_empty() {
-        return;
+        return false;
     }
     let connecting = tokio::net::TcpStream::connect(address);
     let has_crashed = match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
@@ -197,15 +226,16 @@
         Ok(Ok(_)) | Err(_) => false,
     };
     if !has_crashed {
-        return;
+        return false;
     }
     tracing::info!(
         id = request.head.attempt.as_ref().and_then(|id| id.to_str().ok()),
         %process,
         parts = parts(request).iter().map(|part| hex(part.id)).collect::<Vec<_>>().join(" "),
-        "backend server crashed before it answered; its prompt parts are under suspicion"
+        "backend server crashed as it began to answer; the prompt parts are under suspicion"
     );
     cx.evidence.record_crash(request, process);
+    true
 }
 
 /// Responds to evidence of another instance with what that one lacks.
@@ -226,13 +256,24 @@
     shared.update(|evidence, now| evidence.merge(now, &message.reports));
     let evidence = shared.evidence.borrow();
     let digest = evidence.digest();
-    let reports =
-        if digest == message.digest { Vec::new() } else { evidence.reports(BootTime::now()) };
+    let now = BootTime::now();
+    let may_send = shared.budget.borrow_mut().wait(now).is_zero();
+    let reports = if digest == message.digest || !may_send {
+        Vec::new()
+    } else {
+        evidence.strongest_reports(now, MAX_COMPARED_REPORTS)
+    };
     let text = serde_json::to_vec(&EvidenceMessage { digest, reports })
         .map_err(|error| error.to_string())?;
+    record_bytes(cx, text.len());
     Ok(Response::new(full_body(text)))
 }
 
+fn record_bytes(cx: &InstanceState, bytes: usize) {
+    cx.metrics.add(Counter::PeerBytes, "crash-evidence", bytes as u64);
+    cx.evidence.budget.borrow_mut().spend(BootTime::now(), bytes);
+}
+
 /// Exchanges evidence with other instances until the process exits.
 pub async fn exchange(cx: Rc<InstanceState>, client: reqwest::Client, timer: Timer) {
     // An instance that starts knows nothing until another one has answered.
@@ -252,8 +293,7 @@
             () = cx.evidence.has_news.notified() => {
                 tokio::time::sleep(COLLECT_TIME).await;
                 active_until = Instant::now() + ACTIVE_TIME;
-                let keys = cx.evidence.news.take();
-                let news = cx.evidence.evidence.borrow().reports_of(BootTime::now(), &keys);
+                let news = cx.evidence.take_news();
                 let pushes = pick_peers(&cx, FAN_OUT)
                     .into_iter()
                     .map(|(name, peer)| send(&cx, &client, name, peer, news.clone()));
@@ -261,6 +301,8 @@
                     futures::future::join_all(pushes),
                     tokio::time::sleep(MIN_ROUND_TIME)
                 );
+                let wait = cx.evidence.budget.borrow_mut().wait(BootTime::now());
+                tokio::time::sleep(wait).await;
             }
             tick = ticks.recv() => {
                 if tick.is_none() {
@@ -268,7 +310,9 @@
                 }
                 let is_active = Instant::now() < active_until;
                 let is_due = is_active || compared_at.elapsed() >= QUIET_COMPARE_PERIOD;
-                let has_evidence = !cx.evidence.evidence.borrow().is_empty();
+                // Evidence of single crashes is not compared: there is much of it on a bad day, and it
+                // forbids nothing.
+                let has_evidence = cx.evidence.evidence.borrow().digest() != 0;
                 if !(is_due && has_evidence) {
                     continue;
                 }
@@ -311,9 +355,18 @@
     cx.metrics.add(Counter::PeerMessages, "crash-evidence", 1);
     let digest = cx.evidence.evidence.borrow().digest();
     let message = EvidenceMessage { digest, reports };
+    let text = match serde_json::to_vec(&message) {
+        Ok(text) => text,
+        Err(error) => {
+            tracing::error!(%error, "crash evidence can't be encoded");
+            return false;
+        }
+    };
+    record_bytes(cx, text.len());
     let url = format!("http://{}{EVIDENCE_PATH}", peer.address);
     let call = async {
-        let req = client.post(url).timeout(MESSAGE_TIMEOUT).json(&message);
+        let req = client.post(url).timeout(MESSAGE_TIMEOUT);
+        let req = req.header(CONTENT_TYPE, "application/json").body(text);
         let rsp = req.send().await.map_err(|error| http::error_chain(&error))?;
         let status = rsp.status();
         let body = http::read_limited(rsp, MAX_MESSAGE_BYTES).await;
--- a/src/gateway/relay/mod.rs
+++ b/src/gateway/relay/mod.rs
@@ -19,6 +19,7 @@
 };
 use crate::gateway::body::{ResponseBody, TruncatedBody};
 use crate::gateway::events::{EventSplitter, MAX_EVENT_BYTES};
+use crate::gateway::evidence::PartsCheck;
 use crate::gateway::handle::recheck_key;
 use crate::gateway::record::RequestRecord;
 use crate::gateway::shared::InstanceState;
@@ -65,6 +66,8 @@
     pending: Option<Bytes>,
     /// Whether the stream has ended, successfully or not.
     is_finished: bool,
+    /// Whether a backend server may have crashed when it began to answer or to go on.
+    may_have_crashed_server: bool,
     migrations: MigrationAttempts,
 }
 
@@ -112,6 +115,7 @@
         last_sent_at: Instant::now(),
         pending: None,
         is_finished: false,
+        may_have_crashed_server: false,
         migrations,
     };
     let first = relay.read_first().await?;
@@ -274,6 +278,24 @@
             .map_err(|_| "the key was withdrawn or can't be verified any more".to_owned())
     }
 
+    /// Checks whether the parts of the prompt allow that another backend server goes on.
+    ///
+    /// # Errors
+    /// If a part crashes backend servers, or may be what has crashed one under this stream.
+    fn check_prompt_parts(&self) -> Result<(), String> {
+        match self.cx.evidence.check(&self.cx, &self.request) {
+            PartsCheck::Refused(_) => {
+                let route = self.request.route.name.as_str();
+                self.cx.metrics.add(Counter::Quarantined, route, 1);
+                Err("a part of the prompt crashes backend servers".to_owned())
+            }
+            PartsCheck::NoRetry if self.may_have_crashed_server => {
+                Err("a part of the prompt may have crashed the backend server".to_owned())
+            }
+            PartsCheck::Passed | PartsCheck::NoRetry => Ok(()),
+        }
+    }
+
     /// Returns when the stream counts as stalled if there are no events from `waiting_since` on.
     fn stalled_at(&self, waiting_since: Instant) -> Instant {
         let last = self.request.deadline + DEADLINE_OVERRUN;
@@ -289,7 +311,7 @@
         let Some((body, run)) = &mut self.current_run else { return Err(ReadEnd::Complete) };
         loop {
             if let Some(events) = self.splitter.take_complete() {
-                run.mark_answered();
+                run.record_events();
                 self.last_event = events.last_id.or(self.last_event);
                 return Ok(events.bytes);
             }
@@ -334,7 +356,7 @@
     async fn fail_disconnected(&mut self) {
         if let Some((body, run)) = self.current_run.take() {
             drop(body);
-            run.fail_disconnected().await;
+            self.may_have_crashed_server |= run.fail_disconnected().await;
         }
     }
 
@@ -350,6 +372,7 @@
             && !self.request.time_left().is_zero()
         {
             self.check_key()?;
+            self.check_prompt_parts()?;
             let Some((choice, server)) = self.cx.choose(&self.request, &self.history) else {
                 return Err("no other backend server is available".to_owned());
             };
@@ -373,8 +396,10 @@
                 },
                 SendOutcome::NotRun => self.record.send_ended("not run"),
                 SendOutcome::Misdirected => self.record.send_ended("misdirected"),
-                SendOutcome::NotSent(why) | SendOutcome::Unknown(why) => {
-                    self.record.send_ended(&why)
+                SendOutcome::NotSent(why) => self.record.send_ended(&why),
+                SendOutcome::Unknown(why) => {
+                    self.record.send_ended(&why);
+                    self.may_have_crashed_server = true;
                 }
             }
         }
--- a/src/gateway/seals.rs
+++ b/src/gateway/seals.rs
@@ -59,11 +59,13 @@
         let may_create = self.era_start.may_seal(cx, store, era, (window + 1) * window_ms).await?;
         let name = window.to_string();
         let mut step = first_step(may_create);
+        let count_calls = |calls| {
+            cx.metrics.add(Counter::PlatformCalls, Collection::Seals.label(), calls);
+        };
         loop {
-            cx.metrics.add(Counter::PlatformCalls, Collection::Seals.label(), 1);
             step = match step {
                 SealStep::Create => {
-                    cx.metrics.add(Counter::PlatformCalls, Collection::Seals.label(), 1);
+                    count_calls(2);
                     let published = read_published(store, era, window).await?;
                     let counts = published.tallies.sum(window);
                     let seal = Seal { era, counts, is_confirmed: false };
@@ -74,10 +76,12 @@
                     step_after_create(seal, result)?
                 }
                 SealStep::Read => {
+                    count_calls(1);
                     let result = store.get::<StoredSeal>(Collection::Seals, &name).await;
                     step_after_read(may_create, result)?
                 }
                 SealStep::Confirm(version, seal) => {
+                    count_calls(1);
                     let result =
                         store.update(Collection::Seals, &name, Some(&version), &seal).await;
                     step_after_confirm(seal, result)?
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod absence;
 pub mod budget;
+pub mod byte_budget;
 pub mod catalog;
 pub mod choose;
 pub mod cold;
@@ -22,6 +23,7 @@
 pub mod revision;
 pub mod scaling;
 pub mod seals;
+pub mod sound_parts;
 pub mod tried;
 pub mod urgency;
 pub mod windows;
--- a/src/routing/quarantine.rs
+++ b/src/routing/quarantine.rs
@@ -1,14 +1,15 @@
 //! Quarantine of prompt parts that crash backend servers.
 //!
 //! Answers the query of death: a request that crashes the server which begins to answer it, and
-//! then the next server when it is sent again. A crash also ends the requests that happen to run
+//! then the next server when it is sent again. A crash also ends the requests that happen to begin
 //! on the same server, so each part of all these requests is under suspicion. A part that a server
-//! answers is cleared, as a deadly part never is. Without that, crashes of several servers, one
-//! after another, convict the part, and requests with it are no longer sent.
+//! answers, beyond the beginning, is cleared, as a deadly part never is. Without that, crashes of
+//! several servers, one after another, convict the part, and requests with it are no longer sent.
 //!
 //! The evidence of all instances is merged. It is a set of crashed processes for each part that
 //! only grows until it expires, so reports may arrive late, repeatedly and in any order.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -55,7 +56,7 @@
 }
 
 value! {
-    /// A crash that ended a request with a part before its answer began.
+    /// A crash that ended a request with a part before or at the beginning of its answer.
     pub struct CrashReport {
         /// Identifier of the part.
         pub part: u64,
@@ -263,22 +264,59 @@
         all.collect()
     }
 
-    /// Returns a hash that is equal for equal evidence; 0 if there is none.
+    /// Returns a hash that is equal for equal evidence against suspected and convicted parts; 0 if there
+    /// is none.
     pub fn digest(&self) -> u64 {
-        if self.is_empty() {
+        let mut suspected =
+            self.parts.iter().filter(|(_, it)| it.count() >= SUSPECT_CRASHES).peekable();
+        if suspected.peek().is_none() {
             return 0;
         }
         let mut hasher = Xxh3::new();
-        for (part, evidence) in &self.parts {
+        for (part, evidence) in suspected {
             hasher.update(&part.to_le_bytes());
-            for (process, crash) in &evidence.crashes {
+            for (process, _) in evidence.uncleared() {
                 hasher.update(process.as_str().as_bytes());
-                hasher.update(&[0, u8::from(crash.is_cleared)]);
+                hasher.update(&[0]);
             }
         }
         hasher.digest()
     }
 
+    /// Returns the reports that decide most, at most `limit`: all of the parts with the most crashes,
+    /// and of parts that were suspected before they were cleared.
+    pub fn strongest_reports(&self, now: BootTime, limit: usize) -> Vec<CrashReport> {
+        let is_strong = |it: &PartEvidence| it.crashes.len() >= SUSPECT_CRASHES;
+        let mut strong: Vec<_> = self.parts.iter().filter(|(_, it)| is_strong(it)).collect();
+        strong.sort_by_key(|(_, it)| Reverse((it.count(), it.last_crash())));
+        let reports = strong.into_iter().flat_map(|(part, evidence)| {
+            evidence.crashes.iter().map(|(process, crash)| report(now, *part, process, crash))
+        });
+        reports.take(limit).collect()
+    }
+
+    /// Returns those of some crashes, at most `limit`, that decide most: of the parts with the most
+    /// crashes, then the latest.
+    pub fn most_telling(&self, keys: &BTreeSet<CrashKey>, limit: usize) -> BTreeSet<CrashKey> {
+        let mut ranked: Vec<_> = keys
+            .iter()
+            .filter_map(|key| {
+                let evidence = self.parts.get(&key.0)?;
+                Some(((evidence.crashes.len(), evidence.crashes.get(&key.1)?.at), key))
+            })
+            .collect();
+        ranked.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
+        ranked.into_iter().take(limit).map(|(_, key)| key.clone()).collect()
+    }
+
+    /// Returns whether a crash is still worth telling after others were told first: if it isn't cleared,
+    /// or others of its part may not be.
+    pub fn is_worth_telling(&self, (part, process): &CrashKey) -> bool {
+        self.parts
+            .get(part)
+            .is_some_and(|it| it.crashes.len() >= SUSPECT_CRASHES || it.has_uncleared(process))
+    }
+
     /// Returns the standing of a request with the given parts.
     pub fn standing(&self, now: BootTime, parts: &[PromptPart]) -> Standing {
         let known = || {
--- a/tests/gateway/quarantine.rs
+++ b/tests/gateway/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::support::crashing::{CrashingEngines, DEADLY_PART};
+use crate::support::crashing::{CrashTime, CrashingEngines, DEADLY_PART};
 use crate::support::instance::InstanceSettings;
 use crate::support::{Instance, StandInStore, config, wait_until};
 
@@ -21,9 +21,13 @@
 
 /// Starts two instances in each of two data centres, before engines that restart after a crash.
 async fn fixture() -> Fixture {
+    fixture_of(CrashTime::BeforeFirstEvent).await
+}
+
+async fn fixture_of(crash_time: CrashTime) -> Fixture {
     let store = StandInStore::start().await;
     store.put("config", "main", config(1, &["key"]));
-    let engines = CrashingEngines::start(&store, ENGINES).await;
+    let engines = CrashingEngines::start(&store, ENGINES, crash_time).await;
     let mut instances = Vec::new();
     for (number, data_centre) in
         ["kolkata-a", "kolkata-a", "howrah-c", "howrah-c"].iter().enumerate()
@@ -115,3 +119,46 @@
     assert!(sent_at.elapsed() < Duration::from_secs(1));
     assert_eq!(fx.engines.deadly_arrivals().len(), before);
 }
+
+/// Guards against a query of death whose first event is taken for proof that its parts are sound: each
+/// such stream goes on at the next engine and crashes that, too.
+#[tokio::test]
+async fn prompt_part_that_crashes_engines_after_the_first_event_is_no_longer_sent() {
+    let fx = fixture_of(CrashTime::AfterFirstEvent(Duration::from_millis(10))).await;
+
+    let answers = send_deadly(&fx, 24).await;
+
+    let arrivals = fx.engines.deadly_arrivals();
+    let counted_from = arrivals.get(4).map(|fifth| *fifth + CONTACT_TIME);
+    let late = arrivals.iter().filter(|at| counted_from.is_some_and(|from| **at > from)).count();
+    assert!(late <= MAX_LATE_REQUESTS && arrivals.len() <= 12, "{} arrivals", arrivals.len());
+    assert_eq!(answers.last().map(|(status, ..)| *status), Some(503));
+    // A stream that ends with a crash must not look complete.
+    assert!(answers.iter().all(|(status, _, is_complete)| *status != 200 || !is_complete));
+    for (number, instance) in fx.instances.iter().enumerate() {
+        let (status, _, is_complete) =
+            send(instance, &format!("1:100,{SESSION}:100"), 100 + number).await;
+        assert_eq!((status, is_complete), (200, true), "at instance-{number}");
+    }
+}
+
+/// Guards against blame for parts of streams that were well under way when their engine crashed.
+#[tokio::test]
+async fn crashes_in_the_midst_of_answers_convict_no_part() {
+    let fx = fixture_of(CrashTime::AfterFirstEvent(Duration::from_millis(700))).await;
+    let parts = format!("1:100,{SESSION}:100,{DEADLY_PART}:100");
+
+    // One after another, as a crash ends all streams of an engine, also those that have just begun.
+    for number in 0..4 {
+        send(&fx.instances[number % fx.instances.len()], &parts, number).await;
+    }
+
+    assert!(fx.engines.deadly_arrivals().len() >= 8, "streams were not sent again");
+    for instance in &fx.instances {
+        let metrics = instance.metrics().await;
+        let gauges: Vec<_> =
+            metrics.lines().filter(|line| line.contains("prompt_parts_")).collect();
+        let is_zero = |line: &&str| line.ends_with("} 0");
+        assert!(gauges.len() == 2 && gauges.iter().all(is_zero), "{gauges:?}");
+    }
+}
--- a/tests/gateway/support/crashing.rs
+++ b/tests/gateway/support/crashing.rs
@@ -1,12 +1,14 @@
-//! Stand-in for an engine that crashes when it begins to answer a prompt with a deadly part.
+//! Stand-in for an engine that crashes on a prompt with a deadly part, when it begins to answer or later.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use bytes::Bytes;
+use futures::StreamExt;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -26,16 +28,27 @@
 /// Time that an engine is down after a crash.
 const RESTART_TIME: Duration = Duration::from_millis(1_000);
 
+/// When an engine crashes on the deadly part.
+#[derive(Debug, Clone, Copy, Default)]
+pub enum CrashTime {
+    /// Before the first event of its answer.
+    #[default]
+    BeforeFirstEvent,
+    /// So long after the first event, and before the second one.
+    AfterFirstEvent(Duration),
+}
+
 /// Engines that restart under the same name and address after a crash; clones share the record.
 #[derive(Clone, Default)]
 pub struct CrashingEngines {
+    crash_time: CrashTime,
     deadly_arrivals: Arc<Mutex<Vec<Instant>>>,
 }
 
 impl CrashingEngines {
     /// Starts engines and lists them in a store.
-    pub async fn start(store: &StandInStore, count: usize) -> Self {
-        let engines = Self::default();
+    pub async fn start(store: &StandInStore, count: usize, crash_time: CrashTime) -> Self {
+        let engines = Self { crash_time, ..Self::default() };
         for number in 0..count {
             let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
             let (engines, store) = (engines.clone(), store.clone());
@@ -86,7 +99,7 @@
         }
     }
 
-    async fn answer(&self, req: Request<Incoming>, crash: &Notify) -> Response<Body> {
+    async fn answer(&self, req: Request<Incoming>, crash: &Arc<Notify>) -> Response<Body> {
         let (parts, body) = req.into_parts();
         let _ = body.collect().await;
         let text = |name: &str| {
@@ -100,12 +113,18 @@
             arrivals.push(Instant::now());
         }
         tokio::time::sleep(PREFILL_TIME).await;
-        if is_deadly {
-            crash.notify_one();
-            std::future::pending::<()>().await;
-        }
         let attempt = text("x-laburnumvalve-attempt-id");
-        let mut rsp = Response::new(full(full_stream(&attempt)));
+        let mut rsp = match (is_deadly, self.crash_time) {
+            (false, _) => Response::new(full(full_stream(&attempt))),
+            (true, CrashTime::BeforeFirstEvent) => {
+                crash.notify_one();
+                std::future::pending().await
+            }
+            (true, CrashTime::AfterFirstEvent(delay)) => {
+                let last_event = text("last-event-id").parse::<u64>().unwrap_or_default();
+                Response::new(first_event(last_event, delay, crash.clone()))
+            }
+        };
         let id = attempt.parse().expect("the ID is a valid header");
         rsp.headers_mut().insert("x-laburnumvalve-attempt-id", id);
         let seal = HeaderValue::from_static("seal");
@@ -114,6 +133,18 @@
     }
 }
 
+/// Returns a body that ends with a crash, some time after the event that follows `last_event`.
+fn first_event(last_event: u64, delay: Duration, crash: Arc<Notify>) -> Body {
+    let event = format!("id: {}\ndata: text\n\n", last_event + 1);
+    let event = futures::stream::once(async move { Ok(Frame::data(Bytes::from(event))) });
+    let end = futures::stream::once(async move {
+        tokio::time::sleep(delay).await;
+        crash.notify_one();
+        std::future::pending().await
+    });
+    StreamBody::new(event.chain(end)).boxed_unsync()
+}
+
 /// Listens on an address that was in use until a moment ago.
 async fn listen_again(address: SocketAddr) -> TcpListener {
     loop {
--- a/tests/routing/main.rs
+++ b/tests/routing/main.rs
@@ -14,6 +14,7 @@
 mod quarantine;
 mod scaling;
 mod seals;
+mod sound_parts;
 mod support;
 mod tried;
 mod urgency;
