Let a read of stored origins that was cut off be made again

Found in a read of the change: a caller that leaves while it reads the stored origins of streams counted as a read, so that others were refused for a second without one. The time of a read is now recorded when it has ended. Comments that had to be read twice are reworded.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -127,7 +127,7 @@
     request: Rc<AdmittedRequest>,
     connection: Option<Connection>,
     prefill_tokens: Cell<u64>,
-    /// When the first event or body of the answer was received.
+    /// When the first events of the answer were received.
     answer_began_at: Cell<Option<Instant>>,
     /// Whether the answer has shown that the prompt doesn't crash the backend server.
     is_prompt_sound: Cell<bool>,
--- a/src/gateway/origin_store.rs
+++ b/src/gateway/origin_store.rs
@@ -128,7 +128,7 @@
         let min_period = MIN_READ_PERIOD.max(READ_PERIOD_PER_INSTANCE * cx.instance_count() as u32);
         let is_due = last.at.is_none_or(|at| at.elapsed() >= min_period);
         if last.origins.get(stream).is_none() && is_due && !cx.is_store_unavailable() {
-            last.at = Some(Instant::now());
+            let started_at = Instant::now();
             match tokio::time::timeout(READ_TIMEOUT, read_all(cx, store)).await {
                 Ok(Ok(origins)) => {
                     tracing::info!(streams = origins.count(), "read the stored origins of streams");
@@ -140,6 +140,8 @@
                 }
                 Err(_) => tracing::warn!("the stored origins of streams were not read in time"),
             }
+            // Not before: if this caller leaves during the read, the next one reads.
+            last.at = Some(started_at);
         }
         last.origins.get(stream).cloned()
     }
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -2,9 +2,10 @@
 //! instance.
 //!
 //! Each stream has a few keepers by rendezvous rank, which are told at its first event and asked when
-//! it is taken up. One of them also stores it (see [`super::origin_store`]). The messages are datagrams: there are several for each stream, to instances with
-//! which there is rarely a connection, and one of them may get lost. What no keeper knows, as they were
-//! all lost with the stream, is looked up in the store.
+//! it is taken up. One of them also stores it (see [`super::origin_store`]). The messages are datagrams:
+//! there are several for each stream, to instances with which there is rarely a connection, and one of
+//! them may get lost. What no keeper knows, as they were all lost with the stream, is looked up in the
+//! store.
 
 use std::cell::{OnceCell, RefCell};
 use std::collections::{HashMap, HashSet};
--- a/src/gateway/seals.rs
+++ b/src/gateway/seals.rs
@@ -20,7 +20,8 @@
 /// Number of windows after which a seal, and the tallies of a dead process, are deleted.
 const RETAINED_WINDOWS: u64 = 24;
 
-/// Seals windows, and remembers the counts of those that are not reported yet.
+/// Seals windows, and remembers the counts of those that are not reported yet. The steps are those of
+/// [`crate::routing::seals`].
 #[derive(Debug, Default)]
 pub struct Sealer {
     era_start: EraStart,
--- a/src/routing/sound_parts.rs
+++ b/src/routing/sound_parts.rs
@@ -6,8 +6,8 @@
 use crate::clock::BootTime;
 use crate::routing::choose::PromptPart;
 
-/// Time after an answer for which its parts are not blamed. A part that begins to crash servers is blamed
-/// after it, before the third or fourth crash as a rule.
+/// Time after an answer for which its parts are not blamed: long enough for the answers of popular parts
+/// to follow each other, and short, as a part may begin to crash servers that it didn't crash before.
 const SOUND_TIME: Duration = Duration::from_secs(2);
 /// Maximum number of parts that are remembered.
 const MAX_PARTS: usize = 1_024;
@@ -24,7 +24,7 @@
         self.answered_at.extend(parts.iter().map(|part| (part.id, now)));
         if self.answered_at.len() > MAX_PARTS {
             self.purge(now);
-            // The shared parts of many requests come back at once.
+            // Any may go: those that many requests share are recorded again soon.
             while self.answered_at.len() > MAX_PARTS {
                 self.answered_at.pop_first();
             }
